--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -39,6 +39,7 @@
     driver.start()
     await server.start(cfg.listen)
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
+    LOG.info("settings: %s; disk %d, sockets %d", cfg.settings, cfg.disk_bytes, cfg.sockets)
     stop = loop.create_task(shut_down(terminated, driver, server))
     both: set[asyncio.Future[Any]] = {stop, ended}
     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -146,6 +147,7 @@
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
         self.calls: set[Call] = set()
+        self.counts: Counter[str] = Counter()  # what became of connections, for the people on call
 
     def apply(self, news: HostList) -> None:
         """Follow the list at once: what drains or goes gets no call that is still to be written."""
@@ -212,6 +214,7 @@
     def close_idle(self, host: str) -> None:
         """Close the connections to a host that carry no call."""
         for connection, timer in self._idle.pop(host, []):
+            self.counts["closed as told"] += 1
             self._drop(connection, timer)
 
     def close(self) -> None:
@@ -248,7 +251,7 @@
         try:
             keep = await self._exchange(call)
         except (*FAULTS, TimeoutError) as error:
-            LOG.debug("hosts: %s: %r", call.host, error)
+            LOG.info("hosts: call to %s with %s broke: %r", call.host, call.parts[0].id, error)
         except Exception:
             LOG.exception("hosts: call to %s broke", call.host)
         finally:
@@ -306,6 +309,7 @@
         listed = self._listed.get(host)
         if listed is None:
             raise ConnectionError("no longer listed")
+        self.counts["opened"] += 1
         return await asyncio.wait_for(Connection.open(listed.dial), self._connect_s)
 
     def _take(self, host: str) -> Connection | None:
@@ -316,7 +320,9 @@
             asyncio.get_running_loop().remove_reader(connection.sock)
             timer.cancel()
             if connection.quiet():
+                self.counts["reused"] += 1
                 return connection
+            self.counts["ended when taken"] += 1
             connection.close()
         return None
 
@@ -324,8 +330,10 @@
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
         listed = self._listed.get(host)
         if listed is None or listed.entry.listing is not Listing.READY or not connection.reusable():
+            self.counts["not reusable"] += 1
             return False
         if sum(map(len, self._idle.values())) >= self._most_idle:
+            self.counts["over the bound"] += 1
             return False
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self._idle_s, self._expire, host, connection)
@@ -337,6 +345,7 @@
         """An idle connection has stood too long, or the host has ended it."""
         for item in [item for item in self._idle.get(host, []) if item[0] is connection]:
             self._idle[host].remove(item)
+            self.counts["expired" if connection.quiet() else "ended by host"] += 1
             self._drop(*item)
 
     @staticmethod
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -23,6 +23,7 @@
 from mossfront import interface as api
 
 LOG = logging.getLogger(__name__)
+STATUS_S = 5.0  # s between log lines on connections
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 
 
@@ -79,6 +80,7 @@
         self._over: OrderedDict[str, None] = OrderedDict()
         self._inbox: list[api.Event] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._status: asyncio.TimerHandle | None = None  # of the next status line
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name for cls in config.settings.classes}
@@ -95,6 +97,14 @@
             LOG.info("journal: %d unfinished messages taken up", count)
         self._journal.recovered.clear()
         self._step()
+        self._report()
+
+    def _report(self) -> None:
+        """A line for the people on call: what became of connections to hosts so far."""
+        counts = ", ".join(f"{count} {name}" for name, count in sorted(self._hosts.counts.items()))
+        out = len(self._hosts.calls)
+        LOG.info("holds %d messages, %d calls out; connections: %s", len(self._held), out, counts)
+        self._status = asyncio.get_running_loop().call_later(STATUS_S, self._report)
 
     def shut_down(self, stop_s: float) -> None:
         """From now on only calls are started that end by then; the rest stays in the journal."""
@@ -102,8 +112,9 @@
 
     def close(self) -> None:
         """Let go of everything."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._status):
+            if timer is not None:
+                timer.cancel()
         self._watch.close()
         self._notices.close()
         self._hosts.close()
@@ -188,13 +199,20 @@
             self._end(part.id)
         elif told.verdict.never_ran:
             self._journal.never_ran(part.id, part.attempt)
+        elapsed_us = int((time.monotonic() - call.sent_s) * 1e6)
+        if told.verdict is not api.Verdict.OK:
+            LOG.info(
+                "attempt: %s #%d at %s with %d more: %s after %d ms, wait %d ms",
+                part.id, part.attempt, call.host, len(call.parts) - 1,
+                told.verdict.value, elapsed_us // 1000, told.wait_us // 1000,
+            )  # fmt: skip
         self._post(
             api.Outcome(
                 part.id,
                 part.attempt,
                 call.host,
                 told.verdict,
-                int((time.monotonic() - call.sent_s) * 1e6),
+                elapsed_us,
                 complete,
                 told.wait_us,
                 told.report.get("x0"),
@@ -265,8 +283,14 @@
 
     def _give_up(self, notice: Notice) -> None:
         """The module's final answer goes out at once, and again until it is confirmed."""
-        if self._held.pop(notice.ref, None) is None:
+        if (held := self._held.pop(notice.ref, None)) is None:
             return
+        handed = held.handed
+        LOG.info(
+            "ended: %s %s of %s for %d: %s with %d ms left, %d attempts",
+            notice.ref, handed.cls, handed.tenant, handed.dest, notice.result,
+            (handed.deadline_us - self.clock()) // 1000, held.attempts,
+        )  # fmt: skip
         self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._remember(notice.ref)
         self._notices.send(notice)
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -34,6 +34,7 @@
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
+STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
 
@@ -57,6 +58,7 @@
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), 500_000  # next ask; its gap
+        self.status_us = 0  # when destinations that hold messages are logged next
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
         self.ends: list[tuple[int, int, Message]] = []  # heap: when to answer a held message
@@ -78,6 +80,9 @@
         self._expire()
         if self.calls_out < self.set.slots:  # else what is held is looked at when a slot is free
             self._dispatch()
+        if now_us >= self.status_us:
+            self.status_us = now_us + STATUS_US
+            self._report()
         if 0 <= self.ask_us <= now_us:  # a directory that only answers; an unanswered ask is made again
             self.actions.append(Subscribe())
             self.ask_us = now_us + max(2_000_000, self.set.ask_within_us // 2)
@@ -87,6 +92,22 @@
             self.actions.append(Wake(self.wake_us - now_us))
         return self.actions
 
+    def _report(self) -> None:
+        """A line for the people on call about each destination that holds messages: what its endpoints bear."""
+        for number, dest in self.dests.items():
+            if not (dest.held and dest.ready()):
+                continue
+            line = f"dest {number} holds {len(dest.held)}, {self.calls_out} of {self.set.slots} slots out"
+            for e in dest.ready():
+                pause_us = max(max(g.wait_us, g.next_us) for g in e.guards) - self.now
+                line += (
+                    f"; {e.host} {len(e.calls)} calls of quota {e.quota:.1f}, "
+                    f"failing {e.ratio.share(self.now):.2f}, strikes {max(g.strikes for g in e.guards)}, "
+                    f"pause {max(0, pause_us) // 1000} ms, suspect {self._suspect(e)}, "
+                    f"cold {max(g.cold_us for g in e.guards) >= 0}"
+                )
+            self.actions.append(Log(line))
+
     def _roster(self, event: Roster) -> None:
         """Follow the directory; where it must be asked, a failed or broken watch is asked for again."""
         if event.kind is RosterKind.FAILED:
