--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -93,20 +93,23 @@
         return self.actions
 
     def _report(self) -> None:
-        """A line for the people on call about each destination that holds messages: what its endpoints bear."""
+        """A line for the people on call about each destination that holds messages: what holds them up."""
         for number, dest in self.dests.items():
-            if not (dest.held and dest.ready()):
-                continue
-            line = f"dest {number} holds {len(dest.held)}, {self.calls_out} of {self.set.slots} slots out"
-            for e in dest.ready():
-                pause_us = max(max(g.wait_us, g.next_us) for g in e.guards) - self.now
-                line += (
-                    f"; {e.host} {len(e.calls)} calls of quota {e.quota:.1f}, "
-                    f"failing {e.ratio.share(self.now):.2f}, strikes {max(g.strikes for g in e.guards)}, "
-                    f"pause {max(0, pause_us) // 1000} ms, suspect {self._suspect(e)}, "
-                    f"cold {max(g.cold_us for g in e.guards) >= 0}"
-                )
-            self.actions.append(Log(line))
+            if dest.held and (ready := dest.ready()):
+                out = f"{self.calls_out} of {self.set.slots} slots out"
+                bears = "; ".join(map(self._bears, ready))
+                self.actions.append(Log(f"dest {number} holds {len(dest.held)}, {out}; {bears}"))
+
+    def _bears(self, endpoint: Endpoint) -> str:
+        """What bounds calls to the endpoint now, in words."""
+        guards, failing = endpoint.guards, endpoint.ratio.share(self.now)
+        pause_us = max(max(guard.wait_us, guard.next_us) for guard in guards) - self.now
+        return (
+            f"{endpoint.host} {len(endpoint.calls)} calls of quota {endpoint.quota:.1f}, "
+            f"failing {failing:.2f}, strikes {max(guard.strikes for guard in guards)}, "
+            f"pause {max(0, pause_us) // 1000} ms, suspect {self._suspect(endpoint)}, "
+            f"cold {any(guard.cold_us >= 0 for guard in guards)}"
+        )
 
     def _roster(self, event: Roster) -> None:
         """Follow the directory; where it must be asked, a failed or broken watch is asked for again."""
