Tell unreadable answers as the host's error and take a 200 first line as delivered

About one answer in fifty on inc5976 cannot be read (broken status line, header or length). Each was told to the module as a reset. The module took fast resets on reused connections for a sign that something cuts idle ones, and halved the idle age it trusts until it closed nearly every connection before use: 1070 of 1250 opened by one relay were closed as told. Where the first line said 200 and the rest could not be read, a delivered message was sent again or given up as failed.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -65,12 +65,18 @@
     sent_s: float
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
+    carried: int = 0  # messages that its request carries
 
     @property
     def written(self) -> bool:
         """Whether the last byte is out, after which the host may have begun."""
         return self.connection is not None and self.connection.begun and self.connection.unsent == 0
 
+    @property
+    def delivered(self) -> bool:
+        """Whether its one message is known to be delivered, although no whole answer could be read."""
+        return self.carried == 1 and self.connection is not None and self.connection.says_delivered
+
     @property
     def open(self) -> list[Part]:
         """The parts that have no outcome yet."""
@@ -128,6 +134,18 @@
     return (table | unsent).get(answer.status_code, Verdict.ERROR)
 
 
+def broken(call: Call, error: Exception) -> Told:
+    """What a call proves that ended without an answer that could be read.
+
+    An answer that makes no sense is the host's failure: the connection brought it, so nothing cut that.
+    """
+    if not call.written:
+        return Told(Verdict.CONNECT_FAILED)
+    if call.delivered:
+        return Told(Verdict.OK, complete=True)
+    return Told(Verdict.ERROR if isinstance(error, h11.RemoteProtocolError) else Verdict.RESET)
+
+
 def ends_of(body: bytes) -> dict[str, str]:
     """The end of each message of a batch."""
     lines = (line.split() for line in body.decode("latin-1").splitlines())
@@ -241,7 +259,10 @@
         last = len(call.open) == 1
         begun = call.connection is not None and call.connection.begun
         ran = call.written if last else begun  # others' bytes that follow may complete the call
-        self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
+        if call.delivered:  # its first line came, the rest did not
+            self._settle(call, part, Told(Verdict.OK, complete=True))
+        else:
+            self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
         if last and call.task is not None:
             call.task.cancel()
 
@@ -252,11 +273,11 @@
             keep = await self._exchange(call)
         except (*FAULTS, TimeoutError) as error:
             LOG.info("hosts: call to %s with %s broke: %r", call.host, call.parts[0].id, error)
-        except Exception:
+            told = broken(call, error)
+        except Exception as error:
             LOG.exception("hosts: call to %s broke", call.host)
+            told = broken(call, error)
         finally:
-            if not call.written:
-                told = Told(Verdict.CONNECT_FAILED)
             if call.connection is not None and not keep:
                 call.connection.close()
             self.calls.discard(call)
@@ -273,6 +294,7 @@
             for part in parts:
                 self._settle(call, part, barred)
             return self._keep(call.host, connection)
+        call.carried = len(parts)
         await connection.send(request_of(connection, parts))
         answer = await connection.response()
         wait_us, report = wait_of(answer), report_of(answer)
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 
 import h11
@@ -10,6 +11,8 @@
 Address = tuple[str, int]
 Headers = list[tuple[str, str]]
 MOST_HEAD = 16 * 1024  # bytes of a status line and headers
+MOST_LINE = 1024  # bytes of an answer that are kept to tell what its first line says
+DELIVERED = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
 READ = 64 * 1024
 
 
@@ -20,6 +23,7 @@
         self.sock, self.unsent = sock, 0
         self.begun = False  # whether a byte of the present request has gone out
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
+        self._first = b""  # how the present answer begins
 
     @classmethod
     async def open(cls, address: Address) -> Connection:
@@ -36,6 +40,7 @@
 
     def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> bytes:
         """A request's bytes."""
+        self._first = b""
         host, port = self.sock.getpeername()[:2]
         headers = [("Host", f"{host}:{port}"), *headers]
         if method != "GET":
@@ -77,11 +82,19 @@
         """The next part of the answer; a broken or ended connection raises."""
         while (event := self._http.next_event()) is h11.NEED_DATA:
             data = await asyncio.get_running_loop().sock_recv(self.sock, READ)
+            if not data and not self._first:
+                raise ConnectionResetError("ended without an answer")
+            self._first += data[: MOST_LINE - len(self._first)]
             self._http.receive_data(data)
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionResetError("closed before an answer")
         return event  # type: ignore[return-value]
 
+    @property
+    def says_delivered(self) -> bool:
+        """Whether a first line with 200 has come, which is true even where the rest cannot be read."""
+        return DELIVERED.match(self._first) is not None
+
     async def response(self) -> h11.Response:
         """Status and headers of the final answer."""
         while not isinstance(event := await self.event(), h11.Response):
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 
 import h11
 import pytest
@@ -14,7 +15,7 @@
 from mallowlug.hosts import Call, Hosts, Part, Told, report_of, verdict_of, wait_of
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
-from tests.world import HttpServer, delivered, silent, soon
+from tests.world import HttpServer, Request, delivered, silent, soon
 
 KIND = Kind("banks", apart=True, batch=10)
 
@@ -148,6 +149,63 @@
     host.stop()
 
 
+def writes(answer: bytes) -> Callable[[Request], None]:
+    """A reply of exactly these bytes."""
+    return lambda request: request.writer.write(answer)
+
+
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+BROKEN_HEADS = [b"no colon here\r\n\r\n", b"Content-Length: many\r\n\r\n", b"X-Long: " + bytes(20_000)]
+
+
+@pytest.mark.parametrize("head", BROKEN_HEADS)
+async def test_a_first_line_with_200_is_true_for_one_message(head: bytes) -> None:
+    """Taken for a failure, what is delivered would be sent again or given up."""
+    host = await serving(writes(OK_LINE + head))
+    calls = Calls(host.port)
+    calls.send("m1")
+    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
+    host.stop()
+
+
+async def test_a_first_line_with_200_is_true_when_the_rest_never_comes() -> None:
+    host = await serving(writes(OK_LINE + b"X-Slow: "))
+    calls = Calls(host.port)
+    calls.send("m1", limit_us=300_000)
+    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
+    host.stop()
+
+
+@pytest.mark.parametrize("head", BROKEN_HEADS)
+async def test_a_first_line_with_200_proves_nothing_for_several(head: bytes) -> None:
+    host = await serving(writes(OK_LINE + head))
+    calls = Calls(host.port)
+    calls.send("m1", "m2")
+    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [Told(Verdict.ERROR)]
+    host.stop()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [b"HTTP/1.1 2x0 OK\r\n\r\n", b"ICY 200 OK\r\n\r\n", b"HTTP/1.1 2000 X\r\n\r\n", b"\x00" * 99],
+)
+async def test_an_answer_that_cannot_be_read_is_the_hosts_error(answer: bytes) -> None:
+    """The connection brought it: told as a reset, the module would take idle connections for cut."""
+    host = await serving(writes(answer))
+    calls = Calls(host.port)
+    calls.send("m1")
+    assert await calls.outcome("m1") == Told(Verdict.ERROR)
+    host.stop()
+
+
+async def test_a_connection_that_ends_without_an_answer_is_a_reset() -> None:
+    host = await serving(lambda request: request.writer.close())
+    calls = Calls(host.port)
+    calls.send("m1")
+    assert await calls.outcome("m1") == Told(Verdict.RESET)
+    host.stop()
+
+
 async def test_a_cancelled_call_is_told_and_closed() -> None:
     host = await serving(silent)
     calls = Calls(host.port)
