Keep a message past its limit out until the call that it shares is off the wire

A message that shared a call was told as timed out at its own limit, although the call went on for the sake of another with a longer one. The module sent it again at once: two copies out together.

Now the call ends when all that it carries are past their limits; a message whose own time is up is told before, as nobody sends it again by then.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -42,6 +42,8 @@
     key: str
     body: bytes
     limit_us: int
+    left_us: int  # until the message's time is up
+    overdue: bool = False  # its limit has passed
     settled: bool = False
     timer: asyncio.TimerHandle | None = None
 
@@ -215,11 +217,11 @@
         return None
 
     def send(self, call: Call) -> None:
-        """Start one call; each part is settled at its own limit at the latest."""
+        """Start one call; each part is settled when its message's time is up at the latest."""
         loop = asyncio.get_running_loop()
         self.calls.add(call)
         for part in call.parts:
-            part.timer = loop.call_later(part.limit_us / 1e6, self._stop, call, part, Verdict.TIMEOUT)
+            part.timer = loop.call_later(part.limit_us / 1e6, self._late, call, part)
         call.task = loop.create_task(self._run(call))
 
     def cancel(self, ref: str, attempt: int) -> None:
@@ -252,6 +254,23 @@
         if told is not None:
             self._settled(call, part, told)
 
+    def _late(self, call: Call, part: Part) -> None:
+        """A part's limit has passed: it ends with the call, or before while nothing of that is written.
+
+        While the call is out for the sake of others the message is out too, and told as timed out it would
+        be sent again beside itself. Once the message's own time is up nobody does that any more.
+        """
+        part.overdue = True
+        if call.connection is None or not call.connection.begun:
+            self._stop(call, part, Verdict.TIMEOUT)
+        elif all(other.overdue for other in call.open):
+            for other in call.open:
+                self._stop(call, other, Verdict.TIMEOUT)
+        else:
+            more_s = max(0, part.left_us - part.limit_us) / 1e6
+            loop = asyncio.get_running_loop()
+            part.timer = loop.call_later(more_s, self._stop, call, part, Verdict.TIMEOUT)
+
     def _stop(self, call: Call, part: Part, verdict: Verdict) -> None:
         """End one part before its answer; with the last one the connection is closed."""
         if part.settled:
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -304,7 +304,8 @@
             for send in chunk:
                 held = self._held[send.id]
                 number, held.attempts = held.attempts, held.attempts + 1
-                parts.append(Part(send.id, number, held.handed.key, held.body, send.limit_us))
+                left_us = held.handed.deadline_us - now_us
+                parts.append(Part(send.id, number, held.handed.key, held.body, send.limit_us, left_us))
                 tries.append((send.id, Attempt(number, host, self._hosts.zone(host), now_us)))
             if not parts:
                 continue
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -40,7 +40,8 @@
 
     def send(self, *refs: str, limit_us: int = 20_000_000, body: bytes = b"x") -> Call:
         """One call."""
-        call = Call("h1", [Part(ref, 0, "", body, limit_us) for ref in refs], time.monotonic())
+        parts = [Part(ref, 0, "", body, limit_us, 60_000_000) for ref in refs]
+        call = Call("h1", parts, time.monotonic())
         self.hosts.send(call)
         return call
 
@@ -232,6 +233,38 @@
     host.stop()
 
 
+async def test_a_message_past_its_limit_is_out_as_long_as_the_call_it_shares() -> None:
+    """Incident inc327: told as timed out while another kept the call open, it was sent beside itself."""
+    host = await serving(silent)
+    calls = Calls(host.port)
+    limits_us = {"m1": 1_000_000, "m2": 20_000_000}
+    parts = [Part(ref, 0, "", b"x", limit_us, 60_000_000) for ref, limit_us in limits_us.items()]
+    call = Call("h1", parts, time.monotonic())
+    calls.hosts.send(call)
+    await host.call(0)
+    while not (parts[0].overdue or calls.told):
+        await asyncio.sleep(0.01)
+    assert calls.told == {}
+    calls.hosts._late(call, parts[1])
+    assert calls.told == {ref: Told(Verdict.TIMEOUT) for ref in ("m1", "m2")}
+    while host.writers:
+        await asyncio.sleep(0.01)
+    host.stop()
+
+
+async def test_a_message_whose_time_is_up_is_told_although_its_call_is_out() -> None:
+    """Nobody sends it again by then, and its end is owed."""
+    host = await serving(silent)
+    calls = Calls(host.port)
+    call = calls.send("m1", "m2")
+    await host.call(0)
+    call.parts[0].left_us = call.parts[0].limit_us
+    calls.hosts._late(call, call.parts[0])
+    assert await calls.outcome("m1") == Told(Verdict.TIMEOUT)
+    assert "m2" not in calls.told
+    host.stop()
+
+
 async def test_idle_connections_are_closed_on_demand_and_by_age() -> None:
     host = await serving()
     calls = Calls(host.port)
