Follow discovery to its new address on SIGHUP

Now the address is read again from the file (the variable still holds the old one), the watch starts there and notices are posted there. A file that cannot be used is logged and changes nothing.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -36,6 +36,7 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, driver)
     driver.start()
     await server.start(cfg.listen)
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
@@ -52,6 +53,17 @@
     return 0
 
 
+def reload(driver: Driver) -> None:
+    """After SIGHUP: discovery has moved; a file that cannot be used changes nothing."""
+    try:
+        address = config.discovery_of(os.environ)
+    except config.ConfigError as error:
+        LOG.error("SIGHUP: the configuration cannot be used: %s", error)
+        return
+    LOG.info("SIGHUP: discovery is at %s:%d", *address)
+    driver.follow(address)
+
+
 async def shut_down(terminated: asyncio.Event, driver: Driver, server: Server) -> None:
     """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
 
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -74,6 +74,16 @@
     return int(value, 16) if isinstance(value, str) else int(value)
 
 
+def discovery_of(environ: Mapping[str, str]) -> Address:
+    """Where discovery is by the file as it stands now; the environment is older than a changed file."""
+    try:
+        return address_of(json.loads(Path(environ["ROUTER_CONFIG"]).read_bytes())["discovery"])
+    except KeyError as error:
+        raise ConfigError(f"missing {error.args[0]}") from None
+    except (OSError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(str(error)) from error
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read ``$ROUTER_CONFIG``; where a variable of its own is set, that one counts."""
     try:
--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -88,6 +88,18 @@
             if self._answered:
                 return
             self._task.cancel()
+        self._start()
+
+    def move(self, address: Address) -> None:
+        """Watch at another address; the old one tells nothing new and will soon end its watch."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._task is not None and not self._task.done():
+            self._task.cancel()
+            self._start()
+
+    def _start(self) -> None:
         self._answered = False
         self._task = asyncio.create_task(self._run())
 
@@ -140,6 +152,12 @@
         self._told(news)
 
 
+def drop(connection: Connection | None) -> None:
+    """Close a connection, where there is one."""
+    if connection is not None:
+        connection.close()
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """The end of a message that was not delivered."""
@@ -174,6 +192,10 @@
         self.owed += 1
         self._queue.put_nowait(notice)
 
+    def move(self, address: Address) -> None:
+        """Post to another address from now on, also what is being tried again."""
+        self._address = address
+
     def close(self) -> None:
         """Stop; what is not confirmed stays in the journal."""
         for task in self._tasks:
@@ -181,6 +203,7 @@
 
     async def _work(self) -> None:
         connection: Connection | None = None
+        address = self._address
         while True:
             batch = [await self._queue.get()]
             with suppress(asyncio.QueueEmpty):
@@ -188,6 +211,9 @@
                     batch.append(self._queue.get_nowait())
             again_s, post_s = AGAIN_S[0], POST_S[0]
             while batch:
+                if address != self._address:
+                    drop(connection)
+                    connection, address = None, self._address
                 connection, status = await self._post(connection, batch, post_s)
                 if status == 204:
                     self._done(batch)
@@ -214,8 +240,7 @@
         try:
             async with asyncio.timeout(post_s):
                 if connection is None or not connection.quiet():
-                    if connection is not None:
-                        connection.close()
+                    drop(connection)
                     connection = await Connection.open(self._address)
                 body = b"".join(notice.line() for notice in batch)
                 await connection.send(connection.request("POST", NOTICES, [], body))
@@ -229,6 +254,5 @@
         except Exception:  # a worker that dies would hold back every later notice
             LOG.exception("notices: post broke")
             status = 0
-        if connection is not None:
-            connection.close()
+        drop(connection)
         return None, status
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -18,6 +18,7 @@
 from mallowlug.config import Config
 from mallowlug.discovery import HostList, Notice, Notices, Watch
 from mallowlug.hosts import Call, Hosts, Part, Told
+from mallowlug.http import Address
 from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
 from mossfront import Relay as Module
 from mossfront import interface as api
@@ -110,6 +111,11 @@
         """From now on only calls are started that end by then; the rest stays in the journal."""
         self._stop_s = stop_s
 
+    def follow(self, discovery: Address) -> None:
+        """Watch the list at this address from now on, and post notices there."""
+        self._watch.move(discovery)
+        self._notices.move(discovery)
+
     def close(self) -> None:
         """Let go of everything."""
         for timer in (self._timer, self._status):
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 
 import pytest
@@ -157,6 +158,30 @@
     assert (await world.directory.notice("m2"))["result"] == "dead"
 
 
+async def test_sighup_moves_the_watch_and_the_notices(world: World) -> None:
+    """A moved discovery is followed at once; the variable of its own still holds the old address."""
+    client = await world.run()
+    await client.hand_in("m1", d=30)
+    await world.directory.notice("m1")
+    await world.move()
+    host = await world.add("h1")  # told at the new address alone
+    await client.hand_in("m2")
+    assert (await host.call(0)).ids == ["m2"]
+    await client.hand_in("m3", dest=2, d=30)
+    assert (await world.directory.notice("m3"))["result"] == "bounced"
+
+
+async def test_sighup_with_a_file_that_cannot_be_used_changes_nothing(world: World) -> None:
+    client = await world.run()
+    await world.directory.call(0)
+    (world.folder / "config.json").write_text("{", encoding="utf-8")
+    assert world.process is not None
+    world.process.send_signal(signal.SIGHUP)
+    host = await world.add("h1")
+    await client.hand_in("m1")
+    assert (await host.call(0)).ids == ["m1"]
+
+
 @pytest.mark.parametrize("missing", ["settings", "listen", "known"])
 async def test_a_configuration_that_cannot_be_used_is_told(world: World, missing: str) -> None:
     """Without settings or an address the relay ends with 2; without a known list it serves."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import secrets
+import signal
 import socket
 import struct
 import sys
@@ -352,7 +353,11 @@
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
-        return os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.state)}
+        return os.environ | {
+            "ROUTER_CONFIG": str(path),
+            "ROUTER_DISCOVERY": f"127.0.0.1:{self.directory.port}",
+            "ROUTER_STATE": str(self.state),
+        }
 
     async def run(self) -> Client:
         """Start the relay's process; a client once it answers."""
@@ -375,6 +380,16 @@
 
         return await soon(connect())
 
+    async def move(self) -> None:
+        """Discovery moves to another port, the old one takes nothing new, and the relay gets SIGHUP."""
+        assert self.process is not None
+        old, self.directory = self.directory, Directory()
+        self.directory.seq, self.directory.hosts = old.seq, old.hosts
+        await self.directory.start()
+        old.stop()
+        self.environment()
+        self.process.send_signal(signal.SIGHUP)
+
     async def kill(self) -> None:
         """SIGKILL."""
         assert self.process is not None
