Read requests strictly: a bulk string must end where its length says

The requests behind them told a length of 4 and brought "abcdefgh" or "abcdXX*5...": hiredis, made for answers of a trusted server, takes the length on its word. So what such a peer sent was taken on as a message and sent to hosts, which know of no such message. It would also make room for an array of any told length inside another one.

Ruled out: X-No-Slot and a drain or wait between decision and write (each 400 was logged with its status), a wrong destination (the same entries take other messages), keys other than zeros (all such ids were known already, and were not sent).

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -6,19 +6,15 @@
 import logging
 import re
 from collections import OrderedDict
-from typing import Any
-
-import hiredis
 
+from mallowlug import resp
 from mallowlug.relay import Driver, Handed
 
 LOG = logging.getLogger(__name__)
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 4096  # bytes of one request; more without an end is no request
-MOST_PARTS = 16
 TOKEN = re.compile(rb"[!-~]{1,128}")  # what can stand in a header and in a batch's line
 NUMBER = re.compile(rb"[0-9]{1,12}")
-HEADER = re.compile(rb"\*(-?[0-9]+)\r\n")
 LONGEST_MS = 24 * 3600 * 1000
 
 
@@ -72,8 +68,7 @@
 
     def __init__(self, server: Server) -> None:
         self._server = server
-        self._reader = hiredis.Reader()
-        self._since = 0  # bytes since the last whole request
+        self._data = b""  # what came since the last whole request
         self._transport: asyncio.Transport | None = None
         self.ending = False
 
@@ -100,7 +95,7 @@
         self._server.clients.move_to_end(self)
         try:
             self._serve(data)
-        except hiredis.ProtocolError as error:
+        except resp.ProtocolError as error:
             self._transport.write(b"-ERR Protocol error\r\n")
             LOG.info("clients: a broken frame: %s", error)
             self._transport.close()
@@ -111,26 +106,20 @@
 
     def _serve(self, data: bytes) -> None:
         assert self._transport is not None
-        if not self._since and (head := HEADER.match(data)) and int(head[1]) > MOST_PARTS:
-            raise hiredis.ProtocolError("too many parts")  # the parser would make room for all of them
-        self._reader.feed(data)
-        self._since += len(data)
-        while (request := self._reader.gets()) is not False:
-            self._since = 0
-            self._transport.write(self._server.answer(request))
-        if not self._reader.has_data():
-            self._since = 0
-        elif self._since == 0:
-            self._since = 1  # a part of the next request came with the last one
-        if self._since > MOST_COMMAND:
-            raise hiredis.ProtocolError("a request without end")
-        if self.ending and not self._since:
+        self._data += data
+        while self._data and (found := resp.request_at(self._data, MOST_COMMAND)) is not None:
+            words, end = found
+            self._data = self._data[end:]
+            self._transport.write(self._server.answer(words))
+        if len(self._data) > MOST_COMMAND:
+            raise resp.ProtocolError("a request without end")
+        if self.ending and not self._data:
             self._transport.close()
 
     def end(self) -> None:
         """Close between requests: now, or once the request that is coming in has its answer."""
         self.ending = True
-        if not self._since and self._transport is not None:
+        if not self._data and self._transport is not None:
             self._transport.close()
 
 
@@ -170,9 +159,9 @@
         if self._server is not None:
             self._server.close()
 
-    def answer(self, request: Any) -> bytes:
-        """The answer to one whole request."""
-        if not isinstance(request, list) or not request or not all(isinstance(a, bytes) for a in request):
+    def answer(self, request: list[bytes] | None) -> bytes:
+        """The answer to one whole request; None is one that is something else."""
+        if request is None:
             return b"-ERR a request is an array of bulk strings\r\n"
         command = request[0].upper()
         if command == b"PING":
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -71,7 +71,14 @@
 
 
 @pytest.mark.parametrize(
-    "frame", [b"nonsense\r\n", b"*1000000000\r\n", b"*1\r\n$x\r\n", b"$" + b"9" * 70_000]
+    "frame",
+    [
+        b"nonsense\r\n",
+        b"*1000000000\r\n",
+        b"*1\r\n$x\r\n",
+        b"$" + b"9" * 70_000,
+        packed(*enqueue("m1", body=b"abcd"))[:-2] + b"efgh\r\n",  # longer than it tells
+    ],
 )
 async def test_a_broken_frame_ends_that_connection_alone(world: World, frame: bytes) -> None:
     other = await world.run()
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,60 @@
+"""Requests as bytes: what is one, what is none, and where it ends."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowlug.resp import ProtocolError, request_at
+from tests.world import packed
+
+MOST = 1000
+
+
+@given(st.lists(st.binary(max_size=40), min_size=1, max_size=16), st.binary(max_size=20))
+def test_a_request_is_read_whole_and_no_further(words: list[bytes], rest: bytes) -> None:
+    data = packed(*words)
+    assert request_at(data + rest, MOST) == (words, len(data))
+    assert all(request_at(data[:size], MOST) is None for size in range(len(data)))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*1\r\n$4\r\nabcdefgh\r\n",
+        b"*1\r\n$4\r\nabcdX",
+        b"*1\r\n$4\r\nabcd\rX",
+        b"*1\r\n$4\r\nabcdXX*1\r\n$4\r\nPING\r\n",
+        b"*1\r\n$1001\r\n",
+        b"*1\r\n$x\r\n",
+        b"*17\r\n",
+        b"*1\r\n*1000000000\r\n",
+        b"*2\r\n$1\r\na\r\n*999999999\r\n",
+        b"*1\r\n" * 17,
+        b"nonsense",
+        b"#f\r\n",
+        b"+" + b"y" * 64,
+    ],
+)
+def test_bytes_that_are_no_resp_are_told(data: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        request_at(data, MOST)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"+word\r\n",
+        b":1\r\n",
+        b"$1\r\na\r\n",
+        b"$-1\r\n",
+        b"*0\r\n",
+        b"*-3\r\n",
+        b"*2\r\n:1\r\n:2\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*2\r\n*1\r\n$1\r\na\r\n$1\r\nb\r\n",
+    ],
+)
+def test_other_values_are_no_requests_and_have_an_end(data: bytes) -> None:
+    assert request_at(data + b"*1\r\n", MOST) == (None, len(data))
