Part from peers that bring no whole request in 2.5 s

Nothing ended a connection on which no request, or half a one, had come. A connection without any request is closed silently, as a line there would be read as the answer to a request that crosses it; half a request gets a line. Whoever reads nothing is cut off, so that the close ends too.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -15,6 +15,7 @@
 MOST_COMMAND = MOST_BODY + 4096  # bytes of one request; more without an end is no request
 TOKEN = re.compile(rb"[!-~]{1,128}")  # what can stand in a header and in a batch's line
 NUMBER = re.compile(rb"[0-9]{1,12}")
+PATIENCE_S = 2.5  # s for a whole request: a connection without one may go after 2 s, and has to after 3 s
 LONGEST_MS = 24 * 3600 * 1000
 
 
@@ -70,14 +71,17 @@
         self._server = server
         self._data = b""  # what came since the last whole request
         self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
         self.ending = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._wait()
         self._server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._rest()
         self._server.clients.pop(self, None)
 
     def pause_writing(self) -> None:
@@ -96,13 +100,11 @@
         try:
             self._serve(data)
         except resp.ProtocolError as error:
-            self._transport.write(b"-ERR Protocol error\r\n")
             LOG.info("clients: a broken frame: %s", error)
-            self._transport.close()
+            self._part(b"-ERR Protocol error\r\n")
         except Exception:
             LOG.exception("clients: a connection broke")
-            self._transport.write(b"-ERR internal error\r\n")
-            self._transport.close()
+            self._part(b"-ERR internal error\r\n")
 
     def _serve(self, data: bytes) -> None:
         assert self._transport is not None
@@ -110,12 +112,37 @@
         while self._data and (found := resp.request_at(self._data, MOST_COMMAND)) is not None:
             words, end = found
             self._data = self._data[end:]
+            self._rest()
             self._transport.write(self._server.answer(words))
         if len(self._data) > MOST_COMMAND:
             raise resp.ProtocolError("a request without end")
+        if self._data and self._timer is None:
+            self._wait()
         if self.ending and not self._data:
             self._transport.close()
 
+    def _wait(self) -> None:
+        """A whole request has to come in time: silent peers and halves of requests hold descriptors."""
+        self._timer = asyncio.get_running_loop().call_later(PATIENCE_S, self._late)
+
+    def _late(self) -> None:
+        # Where no request has begun, a line would be read as the answer to one that crosses it.
+        self._part(b"-ERR no whole request in time\r\n" if self._data else b"")
+
+    def _rest(self) -> None:
+        """Nothing is waited for: a served connection may stand idle between its requests."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _part(self, line: bytes) -> None:
+        """Tell the peer why and close; one that reads nothing must not hold the connection open."""
+        assert self._transport is not None
+        self._rest()
+        self._transport.write(line)
+        self._transport.close()
+        asyncio.get_running_loop().call_later(PATIENCE_S, self._transport.abort)
+
     def end(self) -> None:
         """Close between requests: now, or once the request that is coming in has its answer."""
         self.ending = True
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mallowlug import discovery
+from mallowlug import clients, discovery
 from tests.world import Request, World, delivered, enqueue, packed, silent, soon
 
 
@@ -89,6 +89,25 @@
     assert await other.command(b"PING") == b"+PONG"
 
 
+@pytest.mark.parametrize(
+    ("data", "line"), [(b"", b""), (b"*5\r\n$7\r\nENQ", b"-ERR no whole request in time\r\n")]
+)
+async def test_a_peer_without_a_whole_request_is_parted_from(world: World, data: bytes, line: bytes) -> None:
+    """An error line or an end is owed three seconds after connecting; a line only to what has begun."""
+    served = await world.run()
+    client = await world.client()
+    client.writer.write(data)
+    assert await soon(client.reader.read()) == line
+    assert await served.command(b"PING") == b"+PONG"
+    assert 2 < clients.PATIENCE_S < 3
+
+
+async def test_a_request_that_stops_halfway_ends_a_served_connection(world: World) -> None:
+    client = await world.run()
+    assert await client.raw(packed(b"PING") + b"*1\r\n$4\r\nPI") == b"+PONG"
+    assert await soon(client.reader.read()) == b"-ERR no whole request in time\r\n"
+
+
 async def test_a_request_may_come_in_pieces(world: World) -> None:
     host = await world.add("h1")
     client = await world.run()
