--- a/mallowlug/journal.py
+++ b/mallowlug/journal.py
@@ -21,7 +21,7 @@
 FRAME = struct.Struct("<4sII")
 BLOCK = 512  # files count in whole blocks
 MOST_RECORD = 128 * 1024  # bytes; a longer length can only be damage
-RESERVE = 1536  # bytes kept free for the later records of each open message: six attempts and an end
+LATER, MOST_LATER = 4, 112  # records that compaction may keep of a message beside its own; bytes, without id
 SLACK_BYTES = 256 * 1024  # garbage that is worth a compaction
 
 
@@ -51,6 +51,38 @@
     notice: tuple[str, int] | None = None  # its end, not yet confirmed: result and wait
 
 
+@dataclass(slots=True)
+class Live:
+    """The raw records of a message that is not over, as compaction writes them again.
+
+    The next life asks how many attempts there were and when the first was made that may have run. So that
+    one and the latest stand for all, and a message takes no more room however often it is tried.
+    """
+
+    arrived: bytes
+    risky: bytes = b""  # the first attempt that may have run, where others followed it
+    last: bytes = b""
+    last_number: int = -1
+    never_ran: bytes = b""  # the proof for the latest attempt
+    end: bytes = b""
+
+    def tried(self, raw: bytes, number: int) -> None:
+        """One more attempt."""
+        if not self.risky and not self.never_ran:
+            self.risky = self.last
+        self.last, self.last_number, self.never_ran = raw, number, b""
+
+    @property
+    def data(self) -> bytes:
+        """Everything that counts, in the order of its writing."""
+        return b"".join((self.arrived, self.risky, self.last, self.never_ran, self.end))
+
+
+def reserve(ref: str) -> int:
+    """Bytes that a message's later records may take in a compacted log."""
+    return LATER * (MOST_LATER + len(ref))
+
+
 def framed(head: list[Any], body: bytes = b"") -> bytes:
     """One record's bytes."""
     payload = json.dumps(head, separators=(",", ":")).encode() + b"\n" + body
@@ -96,8 +128,8 @@
     def __init__(self, folder: Path, disk_bytes: int) -> None:
         self._path, self._spare = folder / "journal", folder / "journal.new"
         self._budget = disk_bytes - 4 * BLOCK
-        self._live: dict[str, list[bytes]] = {}  # raw records of each message that is not over
-        self._live_bytes = 0
+        self._live: dict[str, Live] = {}  # each message that is not over
+        self._live_bytes, self._reserved = 0, 0  # what a compacted log takes now, and what it may on top
         self.recovered: dict[str, Recovered] = {}
         self._spare.unlink(missing_ok=True)  # a compaction that did not end: the old log still counts
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -148,22 +180,30 @@
     def _keep(self, head: list[Any], raw: bytes) -> None:
         """Remember what compaction has to write again."""
         kind, ref = head[0], head[1]
+        if (live := self._live.get(ref)) is not None:
+            self._live_bytes -= len(live.data)
         if kind == "in":
-            self._live[ref] = [raw]
-        elif ref not in self._live:
+            self._reserved += reserve(ref) * (live is None)
+            live = self._live[ref] = Live(raw)
+        elif live is None:
             return
         elif kind == "over":
-            self._live_bytes -= sum(map(len, self._live.pop(ref)))
+            del self._live[ref]
+            self._reserved -= reserve(ref)
             return
-        else:
-            self._live[ref].append(raw)
-        self._live_bytes += len(raw)
+        elif kind == "try":
+            live.tried(raw, int(head[2]))
+        elif kind == "not" and head[2] == live.last_number:
+            live.never_ran = raw
+        elif kind == "end":
+            live.end = raw
+        self._live_bytes += len(live.data)
 
     def accept(self, ref: str, fields: dict[str, Any], body: bytes) -> None:
         """Take a message on, with room left for everything that may still be said of it."""
         head = ["in", ref, fields]
         raw = framed(head, body)
-        after = self._live_bytes + len(raw) + RESERVE * (len(self._live) + 1)
+        after = self._live_bytes + len(raw) + self._reserved + reserve(ref)
         if 2 * blocks(after) > self._budget:  # old and new log stand side by side during compaction
             raise JournalFullError("the budget is used up by open messages")
         self._append([(head, raw)])
@@ -213,7 +253,7 @@
 
     def _compact(self) -> None:
         """Write what is not over to a new log and put it in the old one's place."""
-        data = b"".join(raw for records in self._live.values() for raw in records)
+        data = b"".join(live.data for live in self._live.values())
         if len(data) >= self._size or blocks(self._size) + blocks(len(data)) > self._budget:
             return
         try:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -108,6 +108,31 @@
     accept(journal, "again")
 
 
+def test_a_thousand_open_messages_fit_the_usual_disk(tmp_path: Path) -> None:
+    """Refused for want of room, they would come again and again while the relay had slots to spare."""
+    journal = Journal(tmp_path, DISK)
+    for number in range(1000):
+        accept(journal, f"{number:016x}", size=40)  # bodies of 640 bytes
+    assert len(reopened(tmp_path).recovered) == 1000
+
+
+def test_compaction_keeps_the_first_risky_attempt_and_the_latest(tmp_path: Path) -> None:
+    """The window and the bound on attempts count from these, in the next life too."""
+    journal = Journal(tmp_path, DISK)
+    accept(journal, "kept")
+    for number in range(7):
+        journal.tries([("kept", Attempt(number, f"h{number}", "z", 10 + number))])
+        if number in (0, 1, 4, 6):
+            journal.never_ran("kept", number)
+    for number in range(600):
+        accept(journal, f"m{number}", size=200)
+        journal.over(f"m{number}")
+    assert reopened(tmp_path).recovered["kept"].attempts == [
+        Attempt(2, "h2", "z", 12),
+        Attempt(6, "h6", "z", 16, never_ran=True),
+    ]
+
+
 def test_a_disk_that_takes_nothing_refuses(tmp_path: Path) -> None:
     journal = Journal(tmp_path, DISK)
     journal.close()  # writes fail from here on
