Turn away messages for destinations beyond any list's numbers

A log of what each connection was told showed what is left: ENQUEUE for dest=70000 was taken on. Such a message can never be delivered. A destination within 16 bits is still held for, since the list comes seconds late. Ruled out: other numbers (-1, 1e12, empty) get an error line; half requests and silent connections end after 2.5 s; keys other than zeros came only with ids that were known.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -16,6 +16,7 @@
 TOKEN = re.compile(rb"[!-~]{1,128}")  # what can stand in a header and in a batch's line
 NUMBER = re.compile(rb"[0-9]{1,12}")
 PATIENCE_S = 2.5  # s for a whole request: a connection without one may go after 2 s, and has to after 3 s
+MOST_DEST = 65535  # no list names a destination beyond; a message for one would owe an end and find no host
 LONGEST_MS = 24 * 3600 * 1000
 
 
@@ -51,10 +52,12 @@
         if not sign:
             raise BadRequestError("the list holds no name=value pair")
         pairs[name.strip()] = value
+    if (dest := number(pairs, b"dest")) > MOST_DEST:
+        raise BadRequestError("dest is out of range")
     left_ms = min(number(pairs, b"d"), LONGEST_MS)
     handed = Handed(
         id=token(ref, "the id"),
-        dest=number(pairs, b"dest"),
+        dest=dest,
         cls=token(pairs.get(b"c", b""), "c"),
         deadline_us=now_us + left_ms * 1000,
         tenant=token(pairs[b"t"], "t") if pairs.get(b"t") else "",
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -54,6 +54,7 @@
         packed(b"ENQUEUE", b"0", b"m1", b"c=safe,d=-5,dest=1", b""),
         packed(b"ENQUEUE", b"0", b"m1", b"c=safe,d=100", b""),
         packed(b"ENQUEUE", b"0", b"m1", b"c=safe,d=100,dest=x\r\ny", b""),
+        packed(b"ENQUEUE", b"0", b"m1", b"c=safe,d=100,dest=70000", b""),
         packed(b"ENQUEUE", b"0", b"m1", b"nonsense", b""),
         packed(b"ENQUEUE", b"0", b"m1", b"c=safe,d=100,dest=1", bytes(65537)),
         packed(),
