Leave a destination out of a dispatch once it had no room for a message

A profile gave two thirds of it to the dispatch, and there to asking each endpoint for room anew for each of hundreds of held messages, though room only shrinks within a pass, to worth computed by both kinds of decay, and to listing an enumeration for each message.

Now a destination drops out when it had no room, messages come off a heap, and worth is computed by its own decay.

The processor is still at its bound in the worst second.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -35,6 +35,7 @@
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
+RISKS = {effect: float(number) for number, effect in enumerate(Effect)}  # the less a repeat does, the sooner
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
 
@@ -372,11 +373,14 @@
 
     def _worth(self, message: Message, at_us: float) -> float:
         """What the message earns if delivered at that time."""
-        cls, late_us = message.cls, max(0.0, at_us - message.aim_us)
-        worth = 1 - (1 - cls.late_worth) * late_us / max(1, cls.deadline_us - cls.aim_us)
+        cls, late_us = message.cls, at_us - message.aim_us
+        if at_us >= message.deadline_us:
+            return 0.0
+        if late_us <= 0:
+            return message.worth
         if self.set.halves:
-            worth = max(cls.late_worth, math.pow(0.5, late_us / max(1, cls.aim_us)))
-        return message.worth * worth * (at_us < message.deadline_us)
+            return message.worth * max(cls.late_worth, math.pow(0.5, late_us / max(1, cls.aim_us)))
+        return message.worth * (1 - (1 - cls.late_worth) * late_us / max(1, cls.deadline_us - cls.aim_us))
 
     def _score(self, message: Message) -> float:
         """Worth lost by waiting a while longer, and a part of the worth itself."""
@@ -385,27 +389,38 @@
         return now - self._worth(message, at_us + URGENCY_US) + KEEP_WORTH * now
 
     def _dispatch(self) -> None:
-        """One pass over what is held at the destinations to look at, best first."""
+        """One pass over what is held at the destinations to look at, best first, while any has room.
+
+        Room only shrinks within a pass. So a destination that had none for one message is left out from
+        then on: asked again for each of hundreds that are held, it took most of a relay's processor.
+        """
         ready: list[tuple[float, float, int, Message]] = []
-        short, looked = self.calls_out >= SICK_SHARE * self.set.slots, list(self.look)
-        for dest in [self.dests[number] for number in looked]:
+        short, looked, roomy = self.calls_out >= SICK_SHARE * self.set.slots, list(self.look), set[int]()
+        for number in looked:
+            dest = self.dests[number]
             if dest.held and (rooms := [e for e in dest.ready() if self._room(dest, e)]):
+                roomy.add(number)
                 ill = any(g.strikes for e in dest.endpoints.values() for g in e.guards)
                 for message in filter(self._has_turn, dest.held.values()):
                     # Trials of what fails cost least with what may be repeated, and take turns. With slots
                     # short, worth counts by time in a slot, or crawling destinations take them all.
-                    turn = message.attempts / self.set.max_attempts
-                    risk = ill * (list(Effect).index(message.cls.effect) + turn)
+                    risk = ill and RISKS[message.cls.effect] + message.attempts / self.set.max_attempts
                     slot_us = min(self._record(message, e).mean_us for e in rooms) if short else 1.0
                     ready.append((risk, -self._score(message) / slot_us, len(ready), message))
+        heapq.heapify(ready)
         opened: dict[str, Call] = {}
-        for *_, message in sorted(ready, key=lambda item: item[:3]):
+        while ready and roomy:
+            message = heapq.heappop(ready)[-1]
+            if message.dest not in roomy:
+                continue
             dest = self.dests[message.dest]
             bound = message.cls.effect is Effect.KEYED and message.risky_us >= 0 and message.cls.scope_is_zone
             spots = [e for e in dest.ready() if not bound or e.zone == message.risky_zone]
             shared = [e for e in spots if e.host in opened and opened[e.host].messages < e.kind.batch]
             if rooms := shared or [e for e in spots if self._room(dest, e)]:
                 self._send(message, min(rooms, key=lambda e: self._cost(message, e)), opened)
+            elif not bound:
+                roomy.remove(message.dest)
         if self.calls_out < self.set.slots:  # else what is held waits for a slot and is looked at again
             self.look = {}
         for number in looked:
