Count rates since this life began, so that one early refusal does not choke a partner

The new log line showed why: pace 14.6 a second at no told limit, demand read at 17.4 while about three times as much came. Rates were read as events in a memory of ten seconds, over ten seconds, also when the memory was younger than that. A refusal cuts the pace to four fifths of the own demand: in a relay's first seconds, after each restart too, to a fraction of it.

Now a rate is over the time that the memory has had, one second at least. Messages of a former life, which all come in the first step, are no demand: counted in a young memory they would make too much of it.

Ruled out: slots (35 to 55 of 121 out), quotas (54 to 90), told waits (all 0), cold returns ("cold False").

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -58,6 +58,7 @@
         self.stale_us, self.crowd = float(settings.keepalive_us), Tally(MEMORY_US)  # crowd: no connection
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
+        self.begun_us = -1  # when this life's first step was
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), 500_000  # next ask; its gap
         self.status_us = 0  # when destinations that hold messages are logged next
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
@@ -67,6 +68,7 @@
     def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in every event of the batch, then answer and dispatch once."""
         self.now, self.actions = now_us, []
+        self.begun_us = now_us if self.begun_us < 0 else self.begun_us
         for event in events:
             if isinstance(event, Roster):
                 self._roster(event)
@@ -103,13 +105,14 @@
 
     def _bears(self, endpoint: Endpoint) -> str:
         """What bounds calls to the endpoint now, in words."""
-        guards, failing = endpoint.guards, endpoint.ratio.share(self.now)
+        guards, limit, failing = endpoint.guards, endpoint.limit, endpoint.ratio.share(self.now)
         pause_us = max(max(guard.wait_us, guard.next_us) for guard in guards) - self.now
         return (
             f"{endpoint.host} {len(endpoint.calls)} calls of quota {endpoint.quota:.1f}, "
             f"failing {failing:.2f}, strikes {max(guard.strikes for guard in guards)}, "
-            f"pause {max(0, pause_us) // 1000} ms, suspect {self._suspect(endpoint)}, "
-            f"cold {any(guard.cold_us >= 0 for guard in guards)}"
+            f"pause {max(0, pause_us) // 1000} ms, pace {limit.pace:.1f} of {limit.rate:.1f}/s, "
+            f"demand {limit.demand.rate(self.now, self.begun_us):.1f}/s, "
+            f"suspect {self._suspect(endpoint)}, cold {any(guard.cold_us >= 0 for guard in guards)}"
         )
 
     def _roster(self, event: Roster) -> None:
@@ -159,14 +162,15 @@
         if event.tenant in self.shares:  # beyond its part of this relay's own traffic it is worth little
             quota, own = self.shares[event.tenant]
             own.add(False, self.now)
-            part = self.arrivals.rate(self.now) * quota / max(quota, self.quotas)
+            part = self.arrivals.rate(self.now, self.begun_us) * quota / max(quota, self.quotas)
             part = max(part, quota / self.set.group_size)
-            if self.rng.random() * own.rate(self.now) > part + 2e6 / MEMORY_US:
+            if self.rng.random() * own.rate(self.now, self.begun_us) > part + 2e6 / MEMORY_US:
                 worth *= self.set.over_share_worth
         message = self.messages[event.id] = Message(event, cls, self.now, worth)
         self.open += 1
         dest = self.dests.setdefault(event.dest, Destination(Guard(MEMORY_US)))
-        for limit in (limits := {id(e.limit): e.limit for e in dest.ready()}).values():
+        limits = {id(e.limit): e.limit for e in dest.ready()}
+        for limit in limits.values() if self.now > self.begun_us else ():  # a former life's came long ago
             limit.demand.add(False, self.now, 1 / len(limits))
         if message.key:
             self.turns.setdefault(message.key, []).append(message)
@@ -291,7 +295,7 @@
             if refused:  # a told rate may hold no more, or others use it up: fall to half of what is served
                 part = self._part(endpoint, guard)
                 pace = PACE_DOWN * min(self._pace(guard), part)
-                guard.pace = max(pace, 0.5 * guard.served.rate(self.now), 1e6 / RETRY_MAX_US)
+                guard.pace = max(pace, 0.5 * guard.served.rate(self.now, self.begun_us), 1e6 / RETRY_MAX_US)
             if guard.strikes == 3:
                 self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
         # While most trials fail, this is an outage, and the group's trials together have to fit what a cold
@@ -317,7 +321,7 @@
     def _part(self, endpoint: Endpoint, guard: Guard) -> float:
         """This relay's part of the calls a second there: an equal one, or by its own demand."""
         limit = endpoint.limit
-        part = max(limit.rate / self.set.group_size, limit.demand.rate(self.now), 1e-3)
+        part = max(limit.rate / self.set.group_size, limit.demand.rate(self.now, self.begun_us), 1e-3)
         return part / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
 
     def _space(self, endpoint: Endpoint, guard: Guard, part: float = 1.0) -> None:
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -6,6 +6,8 @@
 
 from mossfront.interface import Arrival, Entry, Kind, Listing, MessageClass
 
+LEAST_US = 1_000_000  # us of events at least, before their number tells a rate
+
 
 class Tally:
     """Events and how many of them count; they fade over ``memory_us`` and, by ``keep``, with each event."""
@@ -24,9 +26,13 @@
         fade = math.exp((self.at_us - now_us) / self.memory_us)
         return self.hits * fade / (self.total * fade + 1)
 
-    def rate(self, now_us: int) -> float:
-        """Events a second, where all are kept: right in the sum over relays, however few each one sees."""
-        return self.total * math.exp((self.at_us - now_us) / self.memory_us) * 1e6 / self.memory_us
+    def rate(self, now_us: int, since_us: int) -> float:
+        """Events a second, where all are kept: right in the sum over relays, however few each one sees.
+
+        Counted since then: a memory that has not filled yet holds less than its length of events.
+        """
+        filled = 1 - math.exp(-max(LEAST_US, now_us - since_us) / self.memory_us)
+        return self.total * math.exp((self.at_us - now_us) / self.memory_us) * 1e6 / (self.memory_us * filled)
 
 
 class Record:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from mossfront import interface as api
+from mossfront.brain import Relay
 from tests.checker import Checker
 from tests.support import KEYED, SAFE, SECOND, UNSAFE, arrival, ended, entry, roster, sends, settings
 
@@ -182,3 +183,29 @@
     during = [at_us for at_us, _ in log if 4 * SECOND < at_us < 8 * SECOND]
     assert 3 <= len(during) <= 30, "each gets a trial now and then"
     assert not [a for a in checker.trace if isinstance(a, api.Fail | api.Refuse)], "nothing is given up"
+
+
+def test_one_refusal_early_in_a_life_leaves_the_pace_near_the_demand() -> None:
+    """Day 5 of the score: demand read at a fraction at first, and one refusal cut the pace to that."""
+    checker = Checker(settings(hold_cap=500, slots=40))
+    checker.step(0, [roster(entry("h1"))])
+    refused: list[int] = []
+
+    def once_full(now_us: int, _send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        if now_us > 2 * SECOND and not refused:
+            refused.append(now_us)
+            return api.Verdict.FULL, 40_000
+        return OK, 100_000
+
+    log = drive(checker, 5 * SECOND, steady(40_000), once_full)
+    assert refused
+    assert sum(at_us > 2 * SECOND for at_us, _ in log) >= 0.75 * 3 * SECOND / 40_000
+
+
+def test_what_a_former_life_left_is_no_demand() -> None:
+    """It all comes at once: counted, it would be taken for a part of the partner far over the true one."""
+    relay = Relay(settings(), 1)
+    relay.step(0, [roster(entry("h1")), *(arrival(f"m{number}") for number in range(50))])
+    assert relay.dests[1].limit.demand.total == 0
+    relay.step(SECOND, [arrival("new")])
+    assert relay.dests[1].limit.demand.total == 1
