--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -169,8 +169,7 @@
         message = self.messages[event.id] = Message(event, cls, self.now, worth)
         self.open += 1
         dest = self.dests.setdefault(event.dest, Destination(Guard(MEMORY_US)))
-        limits = {id(e.limit): e.limit for e in dest.ready()}
-        for limit in limits.values() if self.now > self.begun_us else ():  # a former life's came long ago
+        for limit in (limits := {id(e.limit): e.limit for e in dest.ready()}).values():
             limit.demand.add(False, self.now, 1 / len(limits))
         if message.key:
             self.turns.setdefault(message.key, []).append(message)
