End sending before closing on a broken frame, so that a reset does not take its error line

Closing a socket over bytes that nobody has read resets the connection, and the peer's kernel then throws away the error line that the peer has not read yet: bad input met neither a line nor an orderly close.

Now the relay writes the line, ends its own sending and drops what still comes, until the peer closes or 0.4 s have passed. A peer that reads nothing is let go earlier than before (0.4 s after the line in place of 2.5 s).

Ruled out: the strict reader (the line was right and was sent), the test's bound (it failed at once).

Both new tests fail without the change.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -16,6 +16,7 @@
 TOKEN = re.compile(rb"[!-~]{1,128}")  # what can stand in a header and in a batch's line
 NUMBER = re.compile(rb"[0-9]{1,12}")
 PATIENCE_S = 2.5  # s for a whole request: a connection without one may go after 2 s, and has to after 3 s
+LINGER_S = 0.4  # s that a peer which was told of its error may go on sending before it is cut off
 MOST_DEST = 65535  # no list names a destination beyond; a message for one would owe an end and find no host
 LONGEST_MS = 24 * 3600 * 1000
 
@@ -76,6 +77,7 @@
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
         self.ending = False
+        self._parted = False  # told of its error; what it sends on is read and dropped
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -99,6 +101,8 @@
     def data_received(self, data: bytes) -> None:
         """Answer every whole request; a broken frame or an error in here ends this connection alone."""
         assert self._transport is not None
+        if self._parted:
+            return
         self._server.clients.move_to_end(self)
         try:
             self._serve(data)
@@ -139,12 +143,17 @@
             self._timer = None
 
     def _part(self, line: bytes) -> None:
-        """Tell the peer why and close; one that reads nothing must not hold the connection open."""
+        """Tell the peer why and end the sending; what still comes is dropped for a moment.
+
+        Closing over bytes that nobody read would reset the connection, and a reset takes the line away from a
+        peer that has not read it yet. One that neither reads nor closes must not hold the connection open.
+        """
         assert self._transport is not None
         self._rest()
+        self._parted, self._data = True, b""
         self._transport.write(line)
-        self._transport.close()
-        asyncio.get_running_loop().call_later(PATIENCE_S, self._transport.abort)
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def end(self) -> None:
         """Close between requests: now, or once the request that is coming in has its answer."""
