Count a shared call's slot time once for each message that it carries

It never got out of that again: at 30 s all its slots were still out, and destination 2 held 348 messages with 1 call out, no pause and room in its pace. Fee-payments for it were bounced after 11 s without one attempt, while single-message partners that answer no faster had few held.

Cause: with slots short the dispatch orders by worth over the time that a call takes there, and took that time in full for each message. At a vendor hub five messages share one call and its slot, so each costs a fifth.

Ruled out: the told rate (26 calls/s of up to five messages; the pause was 0 each time), the tenant's share (howrah-east is within its 72 of 171/s), and the returned relay, which held 20 messages at the time.

The test fails without the change.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -406,9 +406,10 @@
                 ill = any(g.strikes for e in dest.endpoints.values() for g in e.guards)
                 for message in filter(self._has_turn, dest.held.values()):
                     # Trials of what fails cost least with what may be repeated, and take turns. With slots
-                    # short, worth counts by time in a slot, or crawling destinations take them all.
+                    # short, worth counts by time in a slot, or crawling destinations take them all; those
+                    # that can share a call share its slot.
                     risk = ill and RISKS[message.cls.effect] + message.attempts / self.set.max_attempts
-                    slot_us = min(self._record(message, e).mean_us for e in rooms) if short else 1.0
+                    slot_us = min(self._slot_us(message, dest, e) for e in rooms) if short else 1.0
                     ready.append((risk, -self._score(message) / slot_us, len(ready), message))
         heapq.heapify(ready)
         opened: dict[str, Call] = {}
@@ -433,6 +434,10 @@
                 if later := [at_us for at_us in times if at_us > self.now]:
                     heapq.heappush(self.due, (min(later), number))
 
+    def _slot_us(self, message: Message, dest: Destination, endpoint: Endpoint) -> float:
+        """Slot time that the message costs there, with as many beside it as a call takes and are held."""
+        return self._record(message, endpoint).mean_us / min(endpoint.kind.batch, len(dest.held))
+
     def _has_turn(self, message: Message) -> bool:
         """Whether order by key lets the message go now; the one that has the turn may be repeated at once."""
         first = not message.key or self.turns[message.key][0] is message
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -71,6 +71,19 @@
     assert quick >= 0.8 * 8 * 25, "nearly all of the quick destination's messages go out"
 
 
+def test_short_slots_go_to_calls_that_many_messages_share() -> None:
+    """A call that carries three messages earns three times as much in its slot as one that carries one."""
+    checker = Checker(settings(slots=4, hold_cap=500))
+    checker.step(0, [roster(entry("shared", dest=1, kind="split"), entry("single", dest=2))])
+
+    def answer(_now_us: int, send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        return OK, 140_000 if send.host == "shared" else 100_000
+
+    log = drive(checker, 12 * SECOND, steady(20_000, dests=(1, 2)), answer)
+    shared = sum(send.host == "shared" and at_us > 4 * SECOND for at_us, send in log)
+    assert shared >= 0.9 * 8 * 50, "nearly all messages that can share a call go out"
+
+
 def test_one_trial_at_a_time_for_all_failing_routes_of_a_destination() -> None:
     """A connection that fails holds its slot for as long as connecting may take (incident ib87010)."""
     checker = Checker(settings(hold_cap=500))
