--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -107,8 +107,9 @@
         """What bounds calls to the endpoint now, in words."""
         guards, limit, failing = endpoint.guards, endpoint.limit, endpoint.ratio.share(self.now)
         pause_us = max(max(guard.wait_us, guard.next_us) for guard in guards) - self.now
+        took = "/".join(f"{record.mean_us / 1000:.0f}" for record in endpoint.records.values()) or "?"
         return (
-            f"{endpoint.host} {len(endpoint.calls)} calls of quota {endpoint.quota:.1f}, "
+            f"{endpoint.host} {len(endpoint.calls)} calls of quota {endpoint.quota:.1f}, took {took} ms, "
             f"failing {failing:.2f}, strikes {max(guard.strikes for guard in guards)}, "
             f"pause {max(0, pause_us) // 1000} ms, pace {limit.pace:.1f} of {limit.rate:.1f}/s, "
             f"demand {limit.demand.rate(self.now, self.begun_us):.1f}/s, "
