--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -68,6 +68,7 @@
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
     carried: int = 0  # messages that its request carries
+    idle: str = "none"  # what its connection was, in words: new, or idle for so long
 
     @property
     def written(self) -> bool:
@@ -307,6 +308,8 @@
         """The call itself; whether its connection can serve again."""
         connection = self._take(call.host) or await self._open(call.host)
         call.connection = connection
+        idle_ms = (time.monotonic() - connection.kept_s) * 1000
+        call.idle = f"{idle_ms:.0f} ms idle" if connection.kept_s else "new"
         # Connecting takes time, in which a wait or a drain may have been told: it binds this write too.
         barred, parts = self.barred(call.host), call.open
         if barred is not None:
@@ -384,6 +387,7 @@
             self.counts["over the bound"] += 1
             return False
         loop = asyncio.get_running_loop()
+        connection.kept_s = time.monotonic()
         timer = loop.call_later(self._idle_s, self._expire, host, connection)
         loop.add_reader(connection.sock, self._expire, host, connection)
         self._idle.setdefault(host, []).append((connection, timer))
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -22,6 +22,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.unsent = sock, 0
         self.begun = False  # whether a byte of the present request has gone out
+        self.kept_s = 0.0  # monotonic time since which it stands idle; 0 until its first call is over
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
         self._first = b""  # how the present answer begins
 
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -208,8 +208,8 @@
         elapsed_us = int((time.monotonic() - call.sent_s) * 1e6)
         if told.verdict is not api.Verdict.OK:
             LOG.info(
-                "attempt: %s #%d at %s with %d more: %s after %d ms, wait %d ms",
-                part.id, part.attempt, call.host, len(call.parts) - 1,
+                "attempt: %s #%d at %s with %d more, connection %s: %s after %d ms, wait %d ms",
+                part.id, part.attempt, call.host, len(call.parts) - 1, call.idle,
                 told.verdict.value, elapsed_us // 1000, told.wait_us // 1000,
             )  # fmt: skip
         self._post(
