--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -145,6 +145,7 @@
     if not call.written:
         return Told(Verdict.CONNECT_FAILED)
     if call.delivered:
+        LOG.info("hosts: %s is delivered by its first line alone: %r", call.parts[0].id, error)
         return Told(Verdict.OK, complete=True)
     return Told(Verdict.ERROR if isinstance(error, h11.RemoteProtocolError) else Verdict.RESET)
 
@@ -280,6 +281,7 @@
         begun = call.connection is not None and call.connection.begun
         ran = call.written if last else begun  # others' bytes that follow may complete the call
         if call.delivered:  # its first line came, the rest did not
+            LOG.info("hosts: %s is delivered by its first line alone: %s", part.id, verdict.value)
             self._settle(call, part, Told(Verdict.OK, complete=True))
         else:
             self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -202,6 +202,8 @@
         """An attempt is over: journal what it proves, then tell the module."""
         complete = told.complete
         if complete:
+            if (held := self._held.get(part.id)) and (late_us := self.clock() - held.handed.deadline_us) > 0:
+                LOG.info("attempt: %s was over %d ms after its time", part.id, late_us // 1000)
             self._end(part.id)
         elif told.verdict.never_ran:
             self._journal.never_ran(part.id, part.attempt)
