Bound calls at once by the connections that an endpoint bears, instead of pausing it

Where an endpoint turned a connection away beside successes, the module paused the whole endpoint for 0.2 s, connections that served included, and then went on to as many calls at once as before.

Now calls at once stay at the number that was out when one was turned away; each second one more is tried, as other relays' connections close. The pause remains while nothing shows that other connections serve meanwhile.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -28,6 +28,7 @@
 OUTAGE_MARK = 0.5  # failure ratio above which an endpoint that does not only refuse is in an outage
 GAP_US = 2_000_000  # us with failures and no success after which a return is taken for a cold one
 RETRY_US, RETRY_MAX_US = 200_000, 3_000_000  # us between trials where this relay's part is large
+CROWD_US = 1_000_000  # us until one connection more is tried where one was turned away
 BURST_US = 400_000  # us of its rate that a paced limit may take at once
 LATE_SPREADS = 4.0  # spreads over the mean: a call older than this is overdue (about 1 in 50 if exponential)
 LIMIT_OVERDUES = 2.5  # time-out of a call that may be repeated, in times of the overdue age
@@ -108,8 +109,9 @@
         guards, limit, failing = endpoint.guards, endpoint.limit, endpoint.ratio.share(self.now)
         pause_us = max(max(guard.wait_us, guard.next_us) for guard in guards) - self.now
         took = "/".join(f"{record.mean_us / 1000:.0f}" for record in endpoint.records.values()) or "?"
+        most = min(endpoint.quota, self._links(endpoint))
         return (
-            f"{endpoint.host} {len(endpoint.calls)} calls of quota {endpoint.quota:.1f}, took {took} ms, "
+            f"{endpoint.host} {len(endpoint.calls)} calls of quota {most:.1f}, took {took} ms, "
             f"failing {failing:.2f}, strikes {max(guard.strikes for guard in guards)}, "
             f"pause {max(0, pause_us) // 1000} ms, pace {limit.pace:.1f} of {limit.rate:.1f}/s, "
             f"demand {limit.demand.rate(self.now, self.begun_us):.1f}/s, "
@@ -245,7 +247,7 @@
             endpoint.records[name].bad.add(failed, self.now)
         if failed:
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
-            self._fail(endpoint, guard, verdict, call.sent_us)
+            self._fail(call, guard, verdict)
             return
         trials = [g for g in endpoint.guards if g.strikes]
         outage = any(g.strikes > 2 or self.trials[g.refused].share(self.now) > OUTAGE_MARK for g in trials)
@@ -289,11 +291,14 @@
         shares = [share.share(self.now) for share in self.trials]
         return any(g.strikes > 1 or (g.strikes and shares[g.refused] > OUTAGE_MARK) for g in endpoint.guards)
 
-    def _fail(self, endpoint: Endpoint, guard: Guard, verdict: Verdict, sent_us: int) -> None:
+    def _fail(self, call: Call, guard: Guard, verdict: Verdict) -> None:
         """A strike, and a pause before the next trial that grows with the outage's age."""
+        endpoint, sent_us = call.endpoint, call.sent_us
         refused, beside = verdict is Verdict.FULL, self.now - guard.ok_us < GAP_US
-        if beside and verdict is Verdict.CONNECT_FAILED:  # a connection limit: the quota shrinks, no strike
-            guard.next_us = max(guard.next_us, self.now + RETRY_US)
+        if beside and verdict is Verdict.CONNECT_FAILED:  # a connection limit: fewer calls at once, no strike
+            endpoint.links, endpoint.links_us = min(self._links(endpoint), max(1, call.beside)), self.now
+            if guard.ok_us < sent_us:  # nothing shows yet that other connections serve meanwhile
+                guard.next_us = max(guard.next_us, self.now + RETRY_US)
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
             guard.cold_us = self.now
@@ -321,6 +326,10 @@
         else:  # all that were told to wait would come back at once
             guard.next_us = max(guard.next_us, start_us + int((start_us - self.now) * self.rng.random()))
 
+    def _links(self, endpoint: Endpoint) -> float:
+        """Calls at once for which it has connections, by what it turned away; in time it may have more."""
+        return endpoint.links + (self.now - endpoint.links_us) / CROWD_US
+
     def _pace(self, limit: Guard) -> float:
         """This relay's pace at a limit; it grows with time, and faster with successes."""
         grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / MEMORY_US))
@@ -470,7 +479,8 @@
     def _room(self, dest: Destination, endpoint: Endpoint) -> bool:
         """Whether one more call to the endpoint is within slots, cap, quota, wait, pace and suspicion."""
         others = dest.endpoints.values()
-        full = self.calls_out >= self.set.slots or len(endpoint.calls) >= max(1, int(endpoint.quota))
+        most = max(1, int(min(endpoint.quota, self._links(endpoint))))
+        full = self.calls_out >= self.set.slots or len(endpoint.calls) >= most
         if full or any(self.now < max(guard.wait_us, guard.next_us) for guard in endpoint.guards):
             return False
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -70,6 +70,7 @@
         self.records: dict[str, Record] = {}
         self.quota, self.start = 0.0, 0.0  # calls in flight allowed now, and at most
         self.used_us = 0  # when a call last ended (0: no connection is left)
+        self.links, self.links_us = math.inf, 0  # own calls beside which a connection was turned away; when
 
 
 class Call:
@@ -77,6 +78,7 @@
 
     def __init__(self, endpoint: Endpoint, now_us: int, overdue_us: float, idle_us: int) -> None:
         self.endpoint, self.sent_us, self.overdue_us, self.idle_us = endpoint, now_us, overdue_us, idle_us
+        self.beside = len(endpoint.calls)  # calls that were out there when it was sent
         self.messages, self.open = 0, 0
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -154,6 +154,31 @@
     assert checker.relay.endpoints["h1"].own.cold_us < 0
 
 
+def test_calls_at_once_stay_within_the_connections_that_an_endpoint_bears() -> None:
+    """Day 5: a pause for each connection turned away idled the others, and hundreds were held."""
+    checker = Checker(settings(hold_cap=500))
+    checker.step(0, [roster(entry("h1"))])
+    out: list[int] = []
+    turned: list[int] = []
+
+    def three_at_once(now_us: int, _send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        out[:] = [at_us for at_us in out if at_us > now_us]
+        if len(out) >= 3:
+            turned.append(now_us)
+            return api.Verdict.CONNECT_FAILED, 30_000
+        out.append(now_us + 50_000)
+        return OK, 50_000
+
+    def clumps(now_us: int) -> list[api.Event]:
+        clump = range(4 if now_us % 100_000 == 0 else 0)
+        return [arrival(f"m{now_us}-{number}") for number in clump]
+
+    log = drive(checker, 20 * SECOND, clumps, three_at_once)
+    served = sum(at_us > 2 * SECOND for at_us, _ in log) - sum(at_us > 2 * SECOND for at_us in turned)
+    assert served >= 0.95 * 18 * 40, "the rate goes on"
+    assert len(turned) <= 40, "about one more is tried each second"
+
+
 def test_one_flooding_tenant_goes_last() -> None:
     checker = Checker(settings(slots=1, hold_cap=500))
     checker.step(0, [roster(entry("h1"))])
