Tell a new connection turned away with 503 and close as not connected, not as full

The endpoints hold only so many connections.

Now the first call on a new connection that is answered so is told as not connected (it never ran either way), which is what the module bounds by.

Ruled out: a rate told (none at destination 4), pauses told (wait 0 ms in all but 6 refusals).

The test fails without the change.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -68,7 +68,12 @@
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
     carried: int = 0  # messages that its request carries
-    idle: str = "none"  # what its connection was, in words: new, or idle for so long
+    idle_ms: int | None = None  # how long its connection had stood idle; None: it is new
+
+    @property
+    def connection_was(self) -> str:
+        """What its connection was, in words."""
+        return "new" if self.idle_ms is None else f"{self.idle_ms} ms idle"
 
     @property
     def written(self) -> bool:
@@ -128,10 +133,16 @@
     return report
 
 
-def verdict_of(answer: h11.Response) -> Verdict:
-    """What a status proves; one that the protocol does not know proves nothing."""
-    if answer.status_code == 503 and any(n == b"x-no-slot" and v == b"1" for n, v in answer.headers):
+def verdict_of(answer: h11.Response, new: bool = False) -> Verdict:
+    """What a status proves; one that the protocol does not know proves nothing.
+
+    A host that holds no more connections answers the first call on a ``new`` one with 503 and ends it: the
+    connection was turned away. Above a limit or with a full queue it keeps the connection.
+    """
+    if answer.status_code == 503 and (b"x-no-slot", b"1") in answer.headers:
         return Verdict.NOT_SENT
+    if new and answer.status_code == 503 and (b"connection", b"close") in answer.headers:
+        return Verdict.CONNECT_FAILED
     table = {DELIVERED: Verdict.OK, 429: Verdict.FULL, 503: Verdict.FULL}
     unsent = dict.fromkeys((400, OVER, 413, 504), Verdict.NOT_SENT)
     return (table | unsent).get(answer.status_code, Verdict.ERROR)
@@ -310,8 +321,8 @@
         """The call itself; whether its connection can serve again."""
         connection = self._take(call.host) or await self._open(call.host)
         call.connection = connection
-        idle_ms = (time.monotonic() - connection.kept_s) * 1000
-        call.idle = f"{idle_ms:.0f} ms idle" if connection.kept_s else "new"
+        if connection.kept_s:
+            call.idle_ms = int((time.monotonic() - connection.kept_s) * 1000)
         # Connecting takes time, in which a wait or a drain may have been told: it binds this write too.
         barred, parts = self.barred(call.host), call.open
         if barred is not None:
@@ -330,7 +341,7 @@
             self._settle_batch(call, parts, await connection.body(MOST_ANSWER), wait_us, report)
         else:
             complete = answer.status_code in (DELIVERED, OVER)
-            told = Told(verdict_of(answer), complete, wait_us, report)
+            told = Told(verdict_of(answer, call.idle_ms is None), complete, wait_us, report)
             # What is told may send the next message there at once: it should find this connection.
             try:
                 whole = connection.whole()
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -211,7 +211,7 @@
         if told.verdict is not api.Verdict.OK:
             LOG.info(
                 "attempt: %s #%d at %s with %d more, connection %s: %s after %d ms, wait %d ms",
-                part.id, part.attempt, call.host, len(call.parts) - 1, call.idle,
+                part.id, part.attempt, call.host, len(call.parts) - 1, call.connection_was,
                 told.verdict.value, elapsed_us // 1000, told.wait_us // 1000,
             )  # fmt: skip
         self._post(
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -293,6 +293,27 @@
     host.stop()
 
 
+async def test_a_new_connection_that_is_turned_away_is_told_apart_from_a_full_limit() -> None:
+    """Told as a limit, it slowed the pace of a destination that had room."""
+    def turned_away(request: Request) -> None:
+        request.answer(503, Connection="close")
+
+    host = await serving(turned_away)
+    calls = Calls(host.port)
+    calls.send("m1")
+    assert await calls.outcome("m1") == Told(Verdict.CONNECT_FAILED)
+    host.default = delivered
+    calls.send("m2")
+    await calls.outcome("m2")
+    host.default = turned_away
+    calls.send("m3")  # on the connection that served m2: that one is no news to the host
+    assert await calls.outcome("m3") == Told(Verdict.FULL)
+    host.default = lambda request: request.answer(503)
+    calls.send("m4")
+    assert await calls.outcome("m4") == Told(Verdict.FULL)
+    host.stop()
+
+
 async def test_a_connection_can_serve_again_when_its_answer_is_told() -> None:
     """The next message often goes to the same host at once; it opened one connection more for that."""
     host = await serving()
