Time out a call that may not be repeated at ten overdue ages, its aim at least

Cause: about 1 % of calls hang, and a call that may not be repeated was waited for until its message's time was up, at endpoints that answer in 45 ms. It kept a slot and a connection, and its end was told at the last moment.

Now such a call ends at ten overdue ages (an overdue age is the mean and four spreads), at its class's aim at least; the message is told as dead at once. Where answers take long the limit is as long as before.

Ruled out: an outage of destination 3 (its other calls came back in 45 ms), a rate limit (pace inf).

The first test fails without the change; the second guards slow partners.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -32,6 +32,7 @@
 BURST_US = 400_000  # us of its rate that a paced limit may take at once
 LATE_SPREADS = 4.0  # spreads over the mean: a call older than this is overdue (about 1 in 50 if exponential)
 LIMIT_OVERDUES = 2.5  # time-out of a call that may be repeated, in times of the overdue age
+LAST_OVERDUES = 10.0  # time-out of one that may not, likewise; its aim at least
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
@@ -498,8 +499,10 @@
     def _send(self, message: Message, endpoint: Endpoint, opened: dict[str, Call]) -> None:
         record, limit_us = self._record(message, endpoint), message.deadline_us - self.now
         overdue = record.mean_us + LATE_SPREADS * max(record.spread_us, record.mean_us / 2)
-        if message.cls.effect is not Effect.UNSAFE:  # one that times out is lost: it runs on
+        if message.cls.effect is not Effect.UNSAFE:
             limit_us = min(limit_us, int(LIMIT_OVERDUES * overdue) << min(message.timeouts, 8))
+        else:  # one that times out is lost; but one that hangs keeps a slot and a connection from others
+            limit_us = min(limit_us, max(message.cls.aim_us, int(LAST_OVERDUES * overdue)))
         if (call := opened.get(endpoint.host)) is None or call.messages >= endpoint.kind.batch:
             if (idle_us := self.now - (endpoint.used_us or self.now)) > self.stale_us:
                 self.actions.append(CloseIdle(endpoint.host))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -179,6 +179,28 @@
     assert len(turned) <= 40, "about one more is tried each second"
 
 
+def test_a_hung_call_that_may_not_be_repeated_ends_long_before_its_message() -> None:
+    """Day 5: at endpoints with five connections each, two to four stood hung for twelve seconds."""
+    checker = Checker(settings(hold_cap=500))
+    checker.step(0, [roster(entry("h1"))])
+    hung = f"order1-{10 * SECOND}"
+
+    def answer(_now_us: int, send: api.Send, _attempt: int) -> tuple[api.Verdict, int] | None:
+        return None if send.id == hung else (OK, 60_000)
+
+    log = drive(checker, 15 * SECOND, steady(200_000, UNSAFE), answer)
+    limits_us = {send.id: send.limit_us for _, send in log}
+    assert UNSAFE.aim_us <= limits_us[hung] <= UNSAFE.aim_us + SECOND
+    assert hung not in checker.relay.messages
+
+
+def test_a_call_that_may_not_be_repeated_has_time_where_answers_are_slow() -> None:
+    checker = Checker(settings(hold_cap=500))
+    checker.step(0, [roster(entry("h1"))])
+    log = drive(checker, 20 * SECOND, steady(200_000, UNSAFE), lambda *_: (OK, 800_000))
+    assert all(send.limit_us >= 8 * SECOND for _, send in log), "ten times of what is usual"
+
+
 def test_one_flooding_tenant_goes_last() -> None:
     checker = Checker(settings(slots=1, hold_cap=500))
     checker.step(0, [roster(entry("h1"))])
