Give an endpoint that came later its class's aim for the first answer

Cause: their time-out came from what other endpoints take. A machine that has just joined is cold and slow by it, so each trial timed out, nothing was learned of it, and two strikes made an outage.

Now such an endpoint has the class's aim as its time-out until it has answered once.

The test fails without the change.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -140,7 +140,7 @@
                     del self.dests[known.dest].endpoints[entry.host]
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
                 known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
-                known.start, known.quota = start, 1 if later else start
+                known.start, known.quota, known.later = start, 1 if later else start, later
                 self.endpoints[entry.host] = dest.endpoints[entry.host] = known
             known.listing = entry.listing
             self.look[entry.dest] = None
@@ -500,7 +500,10 @@
         record, limit_us = self._record(message, endpoint), message.deadline_us - self.now
         overdue = record.mean_us + LATE_SPREADS * max(record.spread_us, record.mean_us / 2)
         if message.cls.effect is not Effect.UNSAFE:
-            limit_us = min(limit_us, int(LIMIT_OVERDUES * overdue) << min(message.timeouts, 8))
+            # What others take tells little of one that came later and answered nothing yet: it may be cold.
+            least_us = message.cls.aim_us if endpoint.later and endpoint.own.ok_us < 0 else 0
+            usual_us = int(LIMIT_OVERDUES * overdue) << min(message.timeouts, 8)
+            limit_us = min(limit_us, max(least_us, usual_us))
         else:  # one that times out is lost; but one that hangs keeps a slot and a connection from others
             limit_us = min(limit_us, max(message.cls.aim_us, int(LAST_OVERDUES * overdue)))
         if (call := opened.get(endpoint.host)) is None or call.messages >= endpoint.kind.batch:
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -69,6 +69,7 @@
         self.calls: list[Call] = []
         self.records: dict[str, Record] = {}
         self.quota, self.start = 0.0, 0.0  # calls in flight allowed now, and at most
+        self.later = False  # whether it joined others on the list
         self.used_us = 0  # when a call last ended (0: no connection is left)
         self.links, self.links_us = math.inf, 0  # own calls beside which a connection was turned away; when
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -201,6 +201,21 @@
     assert all(send.limit_us >= 8 * SECOND for _, send in log), "ten times of what is usual"
 
 
+def test_an_endpoint_that_comes_later_has_the_aim_to_give_its_first_answer() -> None:
+    """Incident r5f33a2: time-outs by what others took made an outage of endpoints that were only cold."""
+    checker = Checker(settings(hold_cap=500))
+    checker.step(0, [roster(entry("h1"))])
+
+    def answer(_now_us: int, send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        return OK, 60_000 if send.host == "h1" else 900_000
+
+    drive(checker, 5 * SECOND, steady(200_000), answer)
+    checker.step(5 * SECOND + 20_000, [roster(entry("h2"))])
+    first = drive(checker, 9 * SECOND, steady(200_000), answer)[0][1]
+    assert first.host == "h2" and first.limit_us == SAFE.aim_us
+    assert checker.relay.endpoints["h2"].own.ok_us > 0
+
+
 def test_one_flooding_tenant_goes_last() -> None:
     checker = Checker(settings(slots=1, hold_cap=500))
     checker.step(0, [roster(entry("h1"))])
