--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from mallowlug import config
+from mallowlug.admin import Admin, Desk
 from mallowlug.clients import Server
 from mallowlug.journal import Journal
 from mallowlug.relay import Driver
@@ -33,10 +34,13 @@
 
     driver = Driver(cfg, journal, crashed)
     server = Server(driver, cfg.sockets // 2)
+    admin = Admin(Desk(driver, lambda: server.serving))
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     loop.add_signal_handler(signal.SIGHUP, reload, driver)
+    if cfg.admin is not None:
+        await admin.start(cfg.admin)
     driver.start()
     await server.start(cfg.listen)
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
@@ -44,6 +48,7 @@
     stop = loop.create_task(shut_down(terminated, driver, server))
     both: set[asyncio.Future[Any]] = {stop, ended}
     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+    admin.close()
     server.close()
     driver.close()
     journal.close()
--- /dev/null
+++ b/mallowlug/admin.py
@@ -0,0 +1,215 @@
+"""The operators' address: health, figures and bans over HTTP/1.1, one call to a connection.
+
+It decides nothing and keeps nothing. Whoever connects is answered or cut off within ``PATIENCE_S``, and
+callers that never finish a call keep nobody else out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+import h11
+
+from mallowlug.http import MOST_HEAD, Address
+from mallowlug.journal import JournalFullError
+from mallowlug.relay import ENDS, Driver, Figures
+
+LOG = logging.getLogger(__name__)
+PATIENCE_S = 5.0  # s for a whole call
+LINGER_S = 0.4  # s that a caller may take to close behind its answer
+MOST_CALLERS = 16  # connections at once; the one that was silent longest goes before a new one is kept out
+MOST_BODY = 4096  # bytes of a call's body, which means nothing
+HEALTH, STATS, CORDON, UNCORDON = "/admin/health", "/admin/stats", "/admin/cordon", "/admin/uncordon"
+METHODS = {HEALTH: b"GET", STATS: b"GET", CORDON: b"PUT", UNCORDON: b"PUT"}
+PREFIX = "app"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A status and a line or more of plain text."""
+
+    status: int
+    text: str
+    allow: bytes = b""
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """The headers of the answer, behind which the connection ends."""
+        told = [
+            (b"Content-Type", b"text/plain; charset=utf-8"),
+            (b"Content-Length", b"%d" % len(self.text.encode())),
+            (b"Connection", b"close"),
+        ]
+        return told + [(b"Allow", self.allow)] * bool(self.allow)
+
+
+def rendered(figures: Figures) -> str:
+    """The figures in the operators' form, one a line."""
+
+    def lines() -> Iterator[str]:
+        for cls in figures.classes:
+            for end in ENDS:
+                yield f"requests.{cls}.{end}:{figures.ended[cls, end]}|c"
+        yield f"attempts:{figures.attempts}|c"
+        yield f"in_flight:{figures.in_flight}|g"
+        yield f"endpoints_known:{figures.endpoints_known}|g"
+        yield f"endpoints_excluded:{figures.endpoints_excluded}|g"
+
+    return "".join(f"{PREFIX}.{line}\n" for line in lines())
+
+
+def endpoint_of(query: str) -> str | None:
+    """The one endpoint that a call names; None where it names none, or several."""
+    try:
+        pairs = parse_qsl(query, strict_parsing=True, errors="strict")
+    except ValueError:
+        return None
+    names = [value for name, value in pairs if name == "who"]
+    return names[0] if len(names) == 1 else None
+
+
+class Desk:
+    """Answers whole calls."""
+
+    def __init__(self, driver: Driver, takes_clients: Callable[[], bool]) -> None:
+        self._driver, self._takes_clients = driver, takes_clients
+
+    def answer(self, method: bytes, target: bytes) -> Answer:
+        """The answer to one call."""
+        path, _, query = target.decode("latin-1").partition("?")
+        if (allowed := METHODS.get(path)) is None:
+            return Answer(404, "no such call\n")
+        if method != allowed:
+            return Answer(405, f"this call is a {allowed.decode()}\n", allowed)
+        if path == HEALTH:
+            takes = self._takes_clients()
+            return Answer(200, "takes clients\n") if takes else Answer(503, "takes no clients\n")
+        if path == STATS:
+            return Answer(200, rendered(self._driver.figures))
+        return self._ban(endpoint_of(query), path == CORDON)
+
+    def _ban(self, host: str | None, banned: bool) -> Answer:
+        if not host:
+            return Answer(400, "the call names one endpoint as who=ID\n")
+        try:
+            known = self._driver.ban(host, banned)
+        except JournalFullError as error:
+            LOG.error("operators: a ban was not kept: %s", error)
+            return Answer(503, "the ban could not be kept\n")
+        if not known:
+            return Answer(404, "no such endpoint was ever listed\n")
+        return Answer(200, "left out\n" if banned else "in use\n")
+
+
+class Caller(asyncio.Protocol):
+    """One operator's connection and its one call."""
+
+    def __init__(self, admin: Admin) -> None:
+        self._admin = admin
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self._request: h11.Request | None = None
+        self._body = 0  # bytes of its body that came
+        self._answered = False
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._timer = asyncio.get_running_loop().call_later(PATIENCE_S, self._late)
+        self._admin.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._admin.callers.pop(self, None)
+
+    def data_received(self, data: bytes) -> None:
+        self._admin.callers.move_to_end(self)
+        self._take(data)
+
+    def eof_received(self) -> None:
+        """A caller that ends its sending before its call is whole is told so."""
+        self._take(b"")
+
+    def _take(self, data: bytes) -> None:
+        """Answer once the call is whole; an error in here ends this connection alone."""
+        if self._answered:  # what comes behind the call is read and dropped
+            return
+        try:
+            self._http.receive_data(data)
+            self._read()
+        except h11.RemoteProtocolError as error:
+            self._say(Answer(error.error_status_hint, "the call cannot be read\n"))
+        except Exception:
+            LOG.exception("operators: a call broke")
+            self._say(Answer(500, "internal error\n"))
+
+    def _read(self) -> None:
+        while (event := self._http.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Request):
+                self._request = event
+            elif isinstance(event, h11.Data):
+                self._body += len(event.data)
+            elif not isinstance(event, h11.EndOfMessage):
+                return  # the caller left
+            if self._body > MOST_BODY:
+                return self._say(Answer(413, "the body is too long\n"))
+            if self._request and (
+                isinstance(event, h11.EndOfMessage) or self._http.they_are_waiting_for_100_continue
+            ):
+                return self._say(self._admin.desk.answer(self._request.method, self._request.target))
+
+    def _late(self) -> None:
+        self._say(Answer(408, "no whole call in time\n"))
+
+    def _say(self, answer: Answer) -> None:
+        """Answer and end the sending; a close over unread bytes would reset, and take the answer away."""
+        assert self._transport is not None
+        self._answered = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return self._transport.abort()
+        head = h11.Response(status_code=answer.status, headers=answer.headers())
+        bare = self._request is not None and self._request.method == b"HEAD"
+        for event in (head, h11.Data(data=b"" if bare else answer.text.encode()), h11.EndOfMessage()):
+            self._transport.write(self._http.send(event) or b"")
+        self._transport.write_eof()
+
+    def end(self) -> None:
+        """Cut the caller off."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Admin:
+    """Listens for operators."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+        self.callers: OrderedDict[Caller, None] = OrderedDict()  # the one heard of last stands last
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> None:
+        """Begin to listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Caller(self), *address, backlog=128)
+
+    def joined(self, caller: Caller) -> None:
+        """A new connection."""
+        self.callers[caller] = None
+        if len(self.callers) > MOST_CALLERS:
+            next(iter(self.callers)).end()
+
+    def close(self) -> None:
+        """Stop listening and cut off whoever is there."""
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self.callers):
+            caller.end()
--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -176,6 +176,11 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Client(self), *address, backlog=512)
 
+    @property
+    def serving(self) -> bool:
+        """Whether clients are taken."""
+        return self._server is not None and not self.refusing
+
     def joined(self, client: Client) -> None:
         """A new connection; over the bound the one that was silent longest goes, between its requests.
 
@@ -214,5 +219,6 @@
         if not self._driver.knows_class(handed.cls):
             return b"-ERR unknown class\r\n"
         if self.refusing or not self._driver.accept(handed, body):
+            self._driver.refused(handed.cls)
             return b"-BUSY %d\r\n" % self._driver.busy_ms
         return b"+OK\r\n"
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -32,6 +32,7 @@
     disk_bytes: int
     sockets: int
     known: HostList
+    admin: Address | None = None  # where operators call; None: nowhere
 
 
 def address_of(text: str) -> Address:
@@ -102,6 +103,7 @@
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
             sockets=int(limits.get("sockets", 1024)),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
+            admin=address_of(admin) if (admin := environ.get("ROUTER_ADMIN") or raw.get("admin")) else None,
         )
     except KeyError as error:
         raise ConfigError(f"missing {error.args[0]}") from None
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -178,6 +178,9 @@
         self._most_idle, self._settled = most_idle, settled
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
+        self.ever: set[str] = set()  # every host that any list has named
+        self._banned: set[str] = set()  # by operators
+        self.written = 0  # messages whose calls were written whole
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
         self.calls: set[Call] = set()
         self.counts: Counter[str] = Counter()  # what became of connections, for the people on call
@@ -191,6 +194,7 @@
                 self.close_idle(host)
         for listed in news.hosts:
             host = listed.entry.host
+            self.ever.add(host)
             known = self._listed.get(host)
             if listed.entry.listing is Listing.GONE:
                 self._listed.pop(host, None)
@@ -199,6 +203,16 @@
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
                 self.close_idle(host)
 
+    def ban(self, host: str, banned: bool) -> None:
+        """Follow an operator at once, as the list is followed."""
+        (self._banned.add if banned else self._banned.discard)(host)
+        self.close_idle(host)
+
+    def _open_to(self, host: str) -> bool:
+        """Whether the list and the operators let the host be called."""
+        listed = self._listed.get(host)
+        return listed is not None and listed.entry.listing is Listing.READY and host not in self._banned
+
     def zone(self, host: str) -> str:
         """The zone of a host."""
         return self._listed[host].entry.zone if host in self._listed else ""
@@ -224,8 +238,7 @@
     def barred(self, host: str) -> Told | None:
         """Why nothing may be written there now: decided before, a call must still obey newer news."""
         wait_us = self.wait_left_us(host)
-        listed = self._listed.get(host)
-        if listed is None or listed.entry.listing is not Listing.READY or wait_us:
+        if wait_us or not self._open_to(host):
             return Told(Verdict.NOT_SENT, wait_us=wait_us)
         return None
 
@@ -331,6 +344,7 @@
             return self._keep(call.host, connection)
         call.carried = len(parts)
         await connection.send(request_of(connection, parts))
+        self.written += len(parts)
         answer = await connection.response()
         wait_us, report = wait_of(answer), report_of(answer)
         if wait_us:
@@ -392,8 +406,7 @@
 
     def _keep(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
-        listed = self._listed.get(host)
-        if listed is None or listed.entry.listing is not Listing.READY or not connection.reusable():
+        if not self._open_to(host) or not connection.reusable():
             self.counts["not reusable"] += 1
             return False
         if sum(map(len, self._idle.values())) >= self._most_idle:
--- a/mallowlug/journal.py
+++ b/mallowlug/journal.py
@@ -22,6 +22,7 @@
 BLOCK = 512  # files count in whole blocks
 MOST_RECORD = 128 * 1024  # bytes; a longer length can only be damage
 LATER, MOST_LATER = 4, 112  # records that compaction may keep of a message beside its own; bytes, without id
+BAN, UNBAN = "ban", "unban"  # records of endpoints, not of messages
 SLACK_BYTES = 256 * 1024  # garbage that is worth a compaction
 
 
@@ -130,6 +131,7 @@
         self._budget = disk_bytes - 4 * BLOCK
         self._live: dict[str, Live] = {}  # each message that is not over
         self._live_bytes, self._reserved = 0, 0  # what a compacted log takes now, and what it may on top
+        self._bans: dict[str, bytes] = {}  # the raw record of each endpoint that operators leave out
         self.recovered: dict[str, Recovered] = {}
         self._spare.unlink(missing_ok=True)  # a compaction that did not end: the old log still counts
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -180,6 +182,12 @@
     def _keep(self, head: list[Any], raw: bytes) -> None:
         """Remember what compaction has to write again."""
         kind, ref = head[0], head[1]
+        if kind in (BAN, UNBAN):
+            self._live_bytes -= len(self._bans.pop(ref, b""))
+            if kind == BAN:
+                self._bans[ref] = raw
+                self._live_bytes += len(raw)
+            return
         if (live := self._live.get(ref)) is not None:
             self._live_bytes -= len(live.data)
         if kind == "in":
@@ -199,6 +207,17 @@
             live.end = raw
         self._live_bytes += len(live.data)
 
+    @property
+    def banned(self) -> list[str]:
+        """The endpoints that operators leave out."""
+        return list(self._bans)
+
+    def ban(self, host: str, banned: bool) -> None:
+        """Keep an operator's word; ``JournalFullError`` where that cannot be promised."""
+        if banned != (host in self._bans):
+            head = [BAN if banned else UNBAN, host]
+            self._append([(head, framed(head))])
+
     def accept(self, ref: str, fields: dict[str, Any], body: bytes) -> None:
         """Take a message on, with room left for everything that may still be said of it."""
         head = ["in", ref, fields]
@@ -253,7 +272,7 @@
 
     def _compact(self) -> None:
         """Write what is not over to a new log and put it in the old one's place."""
-        data = b"".join(live.data for live in self._live.values())
+        data = b"".join((*self._bans.values(), *(live.data for live in self._live.values())))
         if len(data) >= self._size or blocks(self._size) + blocks(len(data)) > self._budget:
             return
         try:
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import time
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from itertools import islice
@@ -61,6 +61,21 @@
     attempts: int = 0
 
 
+SERVED, REFUSED, FAILED = ENDS = ("served", "refused", "failed")
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What operators read, as it is now; what is counted is counted from the start of the process."""
+
+    classes: tuple[str, ...]
+    ended: Counter[tuple[str, str]]  # by class and how it ended
+    attempts: int
+    in_flight: int
+    endpoints_known: int
+    endpoints_excluded: int
+
+
 class Driver:
     """One relay's loop of steps between the sockets and the module."""
 
@@ -79,6 +94,7 @@
         self._notices = Notices(config.discovery, self._confirmed)
         self._held: dict[str, Held] = {}  # messages that owe their end to the module
         self._over: OrderedDict[str, None] = OrderedDict()
+        self._ended: Counter[tuple[str, str]] = Counter()  # messages by class and how they ended
         self._inbox: list[api.Event] = []
         self._timer: asyncio.TimerHandle | None = None
         self._status: asyncio.TimerHandle | None = None  # of the next status line
@@ -91,6 +107,8 @@
         """Take up what the last life left, then follow the list; called before clients are answered."""
         self._notices.start()
         self._listed(self._known, api.RosterKind.CACHED)
+        for host in self._journal.banned:
+            self._leave_out(host, True)
         now_us = self.clock()
         for message in self._journal.recovered.values():
             self._resume(message, now_us)
@@ -125,6 +143,38 @@
         self._notices.close()
         self._hosts.close()
 
+    def ban(self, host: str, banned: bool) -> bool:
+        """Leave an endpoint out or use it again, also after this life; False where none was ever listed so.
+
+        ``JournalFullError`` where it cannot be kept: nothing has changed then.
+        """
+        if host not in self._hosts.ever and host not in self._journal.banned:
+            return False
+        self._journal.ban(host, banned)
+        self._leave_out(host, banned)
+        return True
+
+    def _leave_out(self, host: str, banned: bool) -> None:
+        LOG.info("operators: %s is %s", host, "left out" if banned else "in use")
+        self._hosts.ban(host, banned)
+        self._post(api.Ban(host, banned))
+
+    @property
+    def figures(self) -> Figures:
+        """What operators read."""
+        return Figures(
+            tuple(cls.name for cls in self._set.classes),
+            self._ended,
+            self._hosts.written,
+            len(self._held),
+            self._module.known,
+            self._module.excluded,
+        )
+
+    def refused(self, cls: str) -> None:
+        """Count a message that was turned away at the door."""
+        self._ended[cls, REFUSED] += 1
+
     @property
     def idle(self) -> bool:
         """Whether no call is out and no notice is unconfirmed."""
@@ -202,9 +252,7 @@
         """An attempt is over: journal what it proves, then tell the module."""
         complete = told.complete
         if complete:
-            if (held := self._held.get(part.id)) and (late_us := self.clock() - held.handed.deadline_us) > 0:
-                LOG.info("attempt: %s was over %d ms after its time", part.id, late_us // 1000)
-            self._end(part.id)
+            self._end(part.id, delivered=told.verdict is api.Verdict.OK)
         elif told.verdict.never_ran:
             self._journal.never_ran(part.id, part.attempt)
         elapsed_us = int((time.monotonic() - call.sent_s) * 1e6)
@@ -230,13 +278,15 @@
         if complete:  # also for a part whose own time ran out before: the module must not send it again
             self._post(api.Withdrawn(part.id))
 
-    def _end(self, ref: str) -> bool:
-        """Nothing more is owed; False where that was so before."""
-        if self._held.pop(ref, None) is None:
-            return False
+    def _end(self, ref: str, delivered: bool) -> None:
+        """Nothing more is owed: it was delivered, or its endpoint says that it is over."""
+        if (held := self._held.pop(ref, None)) is None:
+            return
+        if (late_us := self.clock() - held.handed.deadline_us) > 0:
+            LOG.info("attempt: %s was over %d ms after its time", ref, late_us // 1000)
+        self._ended[held.handed.cls, SERVED] += delivered
         self._journal.over(ref)
         self._remember(ref)
-        return True
 
     def _remember(self, ref: str) -> None:
         self._over[ref] = None
@@ -299,6 +349,7 @@
             notice.ref, handed.cls, handed.tenant, handed.dest, notice.result,
             (handed.deadline_us - self.clock()) // 1000, held.attempts,
         )  # fmt: skip
+        self._ended[handed.cls, REFUSED if notice.result == "bounced" else FAILED] += 1
         self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._remember(notice.ref)
         self._notices.send(notice)
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 
 from mossfront.interface import (
-    Action, Arrival, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
+    Action, Arrival, Ban, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
     Refuse, Roster, RosterKind, Send, Settings, Subscribe, Verdict, Wake, Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
@@ -49,7 +49,7 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
-        self.dests = dict[int, Destination]()
+        self.dests, self.banned = dict[int, Destination](), set[str]()  # banned: by operators, listed or not
         self.turns = dict[str, list[Message]]()  # by key: messages in order of arrival
         self.rests = dict[str, int]()  # by key: when an attempt that may still run has died down
         self.norms: dict[str, Record] = {}  # by class: latency over all endpoints
@@ -78,6 +78,8 @@
                 self._arrive(event)
             elif isinstance(event, Outcome):
                 self._outcome(event)
+            elif isinstance(event, Ban):
+                self._ban(event)
             elif isinstance(event, Withdrawn) and event.id in self.messages:
                 self._close(self.messages[event.id])
         while self.due and self.due[0][0] <= now_us:
@@ -142,11 +144,32 @@
                 known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
                 known.start, known.quota, known.later = start, 1 if later else start, later
                 self.endpoints[entry.host] = dest.endpoints[entry.host] = known
-            known.listing = entry.listing
+            known.listing, known.banned = entry.listing, entry.host in self.banned
             self.look[entry.dest] = None
             if self.set.rates_told and entry.listing is Listing.READY:
                 self._told(known.limit, entry.rate_hint / (1.5 if self.set.rates_rough else 1.0))
 
+    def _ban(self, event: Ban) -> None:
+        """Leave an endpoint out, or use it again: it was restarted meanwhile and comes back cold."""
+        (self.banned.add if event.banned else self.banned.discard)(event.host)
+        if (endpoint := self.endpoints.get(event.host)) is None or endpoint.banned == event.banned:
+            return
+        endpoint.banned, self.look[endpoint.dest] = event.banned, None
+        if not event.banned:
+            endpoint.quota, endpoint.later, endpoint.own.cold_us = 1, True, self.now
+            self._space(endpoint, endpoint.own, self.rng.random())
+
+    @property
+    def known(self) -> int:
+        """Endpoints on the list."""
+        return sum(e.listing is not Listing.GONE for e in self.endpoints.values())
+
+    @property
+    def excluded(self) -> int:
+        """Listed endpoints that get no ordinary traffic now: banned, draining, or failing."""
+        listed = [e for e in self.endpoints.values() if e.listing is not Listing.GONE]
+        return sum(e.banned or e.listing is Listing.DRAINING or self._ill(e) for e in listed)
+
     def _told(self, limit: Guard, rate: float | None, left: float | None = None) -> None:
         """A rate told for all relays bounds the pace; the share of it that is left shows what others use."""
         if rate and 0 < rate < math.inf:
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -227,7 +227,15 @@
     id: str
 
 
-Event = Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """An operator leaves an endpoint out, or lets it be used again; it holds whatever the directory says."""
+
+    host: str
+    banned: bool
+
+
+Event = Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Ban
 
 
 @dataclass(frozen=True, slots=True)
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -70,6 +70,7 @@
         self.records: dict[str, Record] = {}
         self.quota, self.start = 0.0, 0.0  # calls in flight allowed now, and at most
         self.later = False  # whether it joined others on the list
+        self.banned = False  # whether an operator leaves it out
         self.used_us = 0  # when a call last ended (0: no connection is left)
         self.links, self.links_us = math.inf, 0  # own calls beside which a connection was turned away; when
 
@@ -106,5 +107,5 @@
         self.held: dict[str, Message] = {}
 
     def ready(self) -> list[Endpoint]:
-        """Endpoints that the directory lists as ready."""
-        return [e for e in self.endpoints.values() if e.listing is Listing.READY]
+        """Endpoints that the directory lists as ready and no operator leaves out."""
+        return [e for e in self.endpoints.values() if e.listing is Listing.READY and not e.banned]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -81,6 +81,19 @@
     assert found["kept"].attempts == [Attempt(0, "h", "z", 1)]
 
 
+def test_bans_outlast_compaction_until_they_are_lifted(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK)
+    for host in ("h1", "h2", "h1"):
+        journal.ban(host, True)
+    for number in range(2 * SLACK_BYTES // 400):
+        accept(journal, f"m{number}", size=100)
+        journal.over(f"m{number}")
+    assert (tmp_path / "journal").stat().st_size < 2 * SLACK_BYTES
+    journal.ban("h2", False)
+    journal.close()
+    assert reopened(tmp_path).banned == ["h1"]
+
+
 def test_a_compaction_that_did_not_end_is_cleared_away(tmp_path: Path) -> None:
     accept(Journal(tmp_path, DISK), "a")
     (tmp_path / "journal.new").write_bytes(b"half")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -96,6 +96,28 @@
     assert {s.host for s in sends(checker.step(40_000, [arrival("m3")]))} == {"h3"}
 
 
+def test_a_banned_endpoint_gets_nothing_whatever_the_list_says() -> None:
+    """Also one that is listed only after the ban, or listed anew; both figures count it."""
+    checker = Checker(settings())
+    checker.step(0, [api.Ban("h1", True), roster(entry("h1"), entry("h2"))])
+    checker.step(10_000, [roster(entry("h2"), kind=Kind.CHANGES), roster(entry("h1", dest=2))])
+    checker.step(20_000, [roster(entry("h1"), entry("h2"))])
+    assert {s.host for s in sends(checker.step(30_000, [arrival(f"m{n}") for n in range(4)]))} == {"h2"}
+    assert (checker.relay.known, checker.relay.excluded) == (2, 1)
+
+
+def test_what_is_held_for_a_banned_endpoint_goes_out_with_the_call_back() -> None:
+    """The endpoint was restarted meanwhile: it is cold and gets single calls at first."""
+    checker = Checker(settings())
+    checker.step(0, [roster(entry("h1"))])
+    checker.step(10_000, [api.Ban("h1", True)])
+    assert not sends(checker.step(20_000, [arrival(f"m{n}", KEYED) for n in range(6)]))
+    actions = checker.step(SECOND, [api.Ban("h1", False)])
+    actions += run_quiet(checker, SECOND + 20_000, 4 * SECOND)
+    assert [s.host for s in sends(actions)] == ["h1"]
+    assert checker.relay.excluded == 0
+
+
 def test_a_told_wait_is_kept_for_the_whole_destination() -> None:
     checker = Checker(settings())
     [send] = sends(checker.step(0, [roster(entry("h1"), entry("h2")), arrival("m1")]))
--- a/tests/world.py
+++ b/tests/world.py
@@ -302,11 +302,16 @@
         self.known: list[dict[str, Any]] = []
         self.settings = settings_json()
         self.disk_mb, self.sockets = 3.0, 1024
+        self.admin_port = 0  # where operators call; 0: nowhere
         # An address of its own: nothing else on the machine can take the port before the relay does.
         self.address = "127." + ".".join(str(secrets.randbelow(253) + 1) for _ in range(3))
+        self.port = self.free_port()
+
+    def free_port(self) -> int:
+        """A port at the relay's address that nothing listens on."""
         with socket.socket() as sock:
             sock.bind((self.address, 0))
-            self.port = sock.getsockname()[1]
+            return int(sock.getsockname()[1])
 
     async def start(self) -> None:
         """Start the directory; the relay is started by the test."""
@@ -353,7 +358,8 @@
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
-        return os.environ | {
+        admin = {"ROUTER_ADMIN": f"{self.address}:{self.admin_port}"} if self.admin_port else {}
+        return os.environ | admin | {
             "ROUTER_CONFIG": str(path),
             "ROUTER_DISCOVERY": f"127.0.0.1:{self.directory.port}",
             "ROUTER_STATE": str(self.state),
@@ -380,6 +386,27 @@
 
         return await soon(connect())
 
+    async def operator(self, data: bytes, port: int = 0) -> bytes:
+        """Bytes to the operators' address, and all that comes back until the relay ends the connection."""
+        reader, writer = await asyncio.open_connection(self.address, port or self.admin_port)
+        writer.write(data)
+        try:
+            return await soon(reader.read())
+        finally:
+            writer.close()
+
+    async def call(self, method: str, target: str, port: int = 0) -> tuple[int, str]:
+        """An operator's call: status and body."""
+        head = f"{method} /admin/{target} HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n"
+        answer = (await self.operator(head.encode(), port)).decode()
+        return int(answer.split()[1]), answer.partition("\r\n\r\n")[2]
+
+    async def figures(self, port: int = 0) -> dict[str, int]:
+        """The figures, by name without the prefix."""
+        _, body = await self.call("GET", "stats", port)
+        pairs = (line.removeprefix("app.").split(":") for line in body.splitlines())
+        return {name: int(value.partition("|")[0]) for name, value in pairs}
+
     async def move(self) -> None:
         """Discovery moves to another port, the old one takes nothing new, and the relay gets SIGHUP."""
         assert self.process is not None
