--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -5,55 +5,154 @@
 import asyncio
 import logging
 import os
+import pickle
 import signal
 import sys
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import asdict
+from itertools import islice
 from typing import Any
 
 from mallowlug import config
 from mallowlug.admin import Admin, Desk
 from mallowlug.clients import Server
+from mallowlug.handover import Estate, Inheritance, Lock, Offer, succeed
 from mallowlug.journal import Journal
-from mallowlug.relay import Driver
+from mallowlug.listen import Listener, bound, passed
+from mallowlug.relay import Counts, Driver, Heard, layout
 
 LOG = logging.getLogger("mallowlug")
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
+TURNS = 5  # of the loop, in which connections that are accepted come up and what they brought is answered
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
+class Service:
+    """One process: it becomes the relay, serves, and leaves to the next process or to the journal."""
+
+    def __init__(self, cfg: config.Config) -> None:
+        self._cfg, self._layout = cfg, layout(cfg.settings)
+        self.ended: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self.admin = Admin()
+        # Without a passed socket no other process could accept this one's clients.
+        self._path = cfg.folder / "handover.sock"
+
+    async def start(self) -> None:
+        """Become the relay, with what the process before gives or what the journal holds."""
+        cfg = self._cfg
+        if cfg.admin is not None:
+            await self.admin.start(bound(cfg.admin))
+        self.lock = Lock(cfg.state)
+        given = await succeed(self.lock, self._path, self._layout)
+        self.journal = Journal(cfg.state, cfg.disk_bytes)
+        self.driver = Driver(cfg, self.journal, self._crashed)
+        self.server = Server(self.driver, cfg.sockets // 2)
+        if given is None:
+            self.driver.start()
+        else:
+            await self._take(given)
+        sock = bound(cfg.listen) if cfg.passed_socket is None else passed(cfg.passed_socket)
+        await self.server.start(sock)
+        release = given.giver.close if given is not None else lambda: None
+        self.admin.desk = Desk(self.driver, lambda: self.server.serving, release)
+        if cfg.admin is None:  # nobody will ask
+            release()
+        self.offer = Offer(self._path, self._layout, self._still, self._estate, self._go_on)
+        if cfg.passed_socket is not None:
+            self.offer.start()
+
+    def _crashed(self, _error: BaseException) -> None:
+        if not self.ended.done():
+            self.ended.set_result(1)
+
+    async def _still(self, same: bool) -> None:
+        """Accept nobody, and let come up what is accepted, and end what the other could not go on with."""
+        if not same:
+            loop = asyncio.get_running_loop()
+            self.driver.shut_down(loop.time() + SERVE_S)
+            await until(loop.time() + SERVE_S, lambda: self.driver.idle, 0.0)
+        for listener in self._listeners:
+            listener.pause()
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
+    async def _go_on(self) -> None:
+        """Nothing was taken: serve on."""
+        self.driver.shut_down(None)
+        for listener in self._listeners:
+            await listener.start()
+
+    @property
+    def _listeners(self) -> list[Listener]:
+        clients = [self.server.listener] if self.server.listener is not None else []
+        return clients + self.admin.listeners
+
+    def _estate(self, same: bool) -> Estate:
+        """All that the next process takes over: the admin's socket, the clients' and those of what is out."""
+        heard, memory, out = self.driver.leave()
+        clients, fds = self.server.leave()
+        own = [listener.sock.fileno() for listener in self.admin.listeners[:1]]
+        counts = self.driver.figures.counts
+        told = {
+            "heard": asdict(heard),
+            "clients": clients,
+            "admin": len(own),
+            "ended": [[*name, count] for name, count in counts.ended.items()],
+            "attempts": counts.attempts,
+        }
+        return Estate(told, pickle.dumps(memory) if same else b"", own + fds + (out if same else []))
+
+    async def _take(self, given: Inheritance) -> None:
+        """Go on where the process before left off."""
+        told, socks = given.told, iter(given.socks)
+        former = Counts(Counter({(cls, end): count for cls, end, count in told["ended"]}), told["attempts"])
+        for sock in islice(socks, told["admin"]):
+            await self.admin.take(sock, former)
+        clients = list(islice(socks, len(told["clients"])))
+        self.driver.heed(Heard(**told["heard"]))
+        if given.memory:
+            self.driver.go_on(pickle.loads(given.memory), socks)
+        else:
+            self.driver.start()
+        await self.server.take(told["clients"], clients)
+        LOG.info("handover: %d clients and %d bytes taken over", len(clients), len(given.memory))
+
+    def close(self) -> None:
+        """Let go of everything."""
+        self.offer.close()
+        self.admin.close()
+        self.server.close()
+        self.driver.close()
+        self.journal.close()
+        self.lock.close()
+
+
 async def serve(cfg: config.Config) -> int:
     """Run until SIGTERM or until the step loop breaks; the exit code."""
     loop = asyncio.get_running_loop()
-    ended: asyncio.Future[int] = loop.create_future()
-    journal = Journal(cfg.state, cfg.disk_bytes)
-
-    def crashed(_error: BaseException) -> None:
-        if not ended.done():
-            ended.set_result(1)
-
-    driver = Driver(cfg, journal, crashed)
-    server = Server(driver, cfg.sockets // 2)
-    admin = Admin(Desk(driver, lambda: server.serving))
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, driver)
-    if cfg.admin is not None:
-        await admin.start(cfg.admin)
-    driver.start()
-    await server.start(cfg.listen)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    service = Service(cfg)
+    start = loop.create_task(service.start())
+    ending = loop.create_task(terminated.wait())
+    await asyncio.wait({start, ending}, return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():  # another process is the relay still
+        start.cancel()
+        return 0
+    start.result()
+    loop.add_signal_handler(signal.SIGHUP, reload, service.driver)
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
     LOG.info("settings: %s; disk %d, sockets %d", cfg.settings, cfg.disk_bytes, cfg.sockets)
-    stop = loop.create_task(shut_down(terminated, driver, server))
-    both: set[asyncio.Future[Any]] = {stop, ended}
+    stop = loop.create_task(shut_down(terminated, service))
+    both: set[asyncio.Future[Any]] = {stop, service.ended}
     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-    admin.close()
-    server.close()
-    driver.close()
-    journal.close()
-    if ended.done():
-        return ended.result()
+    service.close()
+    if service.ended.done():
+        return service.ended.result()
     stop.result()
     return 0
 
@@ -69,7 +168,7 @@
     driver.follow(address)
 
 
-async def shut_down(terminated: asyncio.Event, driver: Driver, server: Server) -> None:
+async def shut_down(terminated: asyncio.Event, service: Service) -> None:
     """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
 
     A connection that ends with a request unanswered loses a message. So connections are closed while the
@@ -77,6 +176,8 @@
     """
     await terminated.wait()
     LOG.info("SIGTERM: shutting down")
+    driver, server = service.driver, service.server
+    service.offer.close()  # what is not given by now goes through the journal
     start_s = asyncio.get_running_loop().time()
     driver.shut_down(start_s + LAST_S)
     await until(start_s + SERVE_S, lambda: not server.clients and driver.idle, start_s + 0.5)
--- a/mallowlug/admin.py
+++ b/mallowlug/admin.py
@@ -8,16 +8,18 @@
 
 import asyncio
 import logging
-from collections import OrderedDict
+import socket
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 import h11
 
-from mallowlug.http import MOST_HEAD, Address
+from mallowlug.http import MOST_HEAD
 from mallowlug.journal import JournalFullError
-from mallowlug.relay import ENDS, Driver, Figures
+from mallowlug.listen import Listener
+from mallowlug.relay import ENDS, Counts, Driver, Figures
 
 LOG = logging.getLogger(__name__)
 PATIENCE_S = 5.0  # s for a whole call
@@ -27,6 +29,8 @@
 HEALTH, STATS, CORDON, UNCORDON = "/admin/health", "/admin/stats", "/admin/cordon", "/admin/uncordon"
 METHODS = {HEALTH: b"GET", STATS: b"GET", CORDON: b"PUT", UNCORDON: b"PUT"}
 PREFIX = "app"
+FORMER_S = 10.0  # s in which the address of the process before is answered too
+NOTHING = Counts(Counter(), 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,14 +51,15 @@
         return told + [(b"Allow", self.allow)] * bool(self.allow)
 
 
-def rendered(figures: Figures) -> str:
-    """The figures in the operators' form, one a line."""
+def rendered(figures: Figures, former: Counts) -> str:
+    """The figures in the operators' form, one a line; those of a process before are counted on."""
+    counts = former + figures.counts
 
     def lines() -> Iterator[str]:
         for cls in figures.classes:
             for end in ENDS:
-                yield f"requests.{cls}.{end}:{figures.ended[cls, end]}|c"
-        yield f"attempts:{figures.attempts}|c"
+                yield f"requests.{cls}.{end}:{counts.ended[cls, end]}|c"
+        yield f"attempts:{counts.attempts}|c"
         yield f"in_flight:{figures.in_flight}|g"
         yield f"endpoints_known:{figures.endpoints_known}|g"
         yield f"endpoints_excluded:{figures.endpoints_excluded}|g"
@@ -75,23 +80,30 @@
 class Desk:
     """Answers whole calls."""
 
-    def __init__(self, driver: Driver, takes_clients: Callable[[], bool]) -> None:
-        self._driver, self._takes_clients = driver, takes_clients
+    def __init__(
+        self, driver: Driver, takes_clients: Callable[[], bool], said_yes: Callable[[], None]
+    ) -> None:
+        self._driver, self._takes_clients, self._said_yes = driver, takes_clients, said_yes
 
-    def answer(self, method: bytes, target: bytes) -> Answer:
-        """The answer to one call."""
+    def answer(self, method: bytes, target: bytes, former: Counts) -> Answer:
+        """The answer to one call, at the address of a process that counted so much before."""
         path, _, query = target.decode("latin-1").partition("?")
         if (allowed := METHODS.get(path)) is None:
             return Answer(404, "no such call\n")
         if method != allowed:
             return Answer(405, f"this call is a {allowed.decode()}\n", allowed)
         if path == HEALTH:
-            takes = self._takes_clients()
-            return Answer(200, "takes clients\n") if takes else Answer(503, "takes no clients\n")
+            return self._health()
         if path == STATS:
-            return Answer(200, rendered(self._driver.figures))
+            return Answer(200, rendered(self._driver.figures, former))
         return self._ban(endpoint_of(query), path == CORDON)
 
+    def _health(self) -> Answer:
+        if not self._takes_clients():
+            return Answer(503, "takes no clients\n")
+        self._said_yes()
+        return Answer(200, "takes clients\n")
+
     def _ban(self, host: str | None, banned: bool) -> Answer:
         if not host:
             return Answer(400, "the call names one endpoint as who=ID\n")
@@ -108,8 +120,8 @@
 class Caller(asyncio.Protocol):
     """One operator's connection and its one call."""
 
-    def __init__(self, admin: Admin) -> None:
-        self._admin = admin
+    def __init__(self, admin: Admin, former: Counts) -> None:
+        self._admin, self._former = admin, former
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self._request: h11.Request | None = None
         self._body = 0  # bytes of its body that came
@@ -162,7 +174,7 @@
             if self._request and (
                 isinstance(event, h11.EndOfMessage) or self._http.they_are_waiting_for_100_continue
             ):
-                return self._say(self._admin.desk.answer(self._request.method, self._request.target))
+                return self._say(self._admin.answer(self._request, self._former))
 
     def _late(self) -> None:
         self._say(Answer(408, "no whole call in time\n"))
@@ -191,15 +203,26 @@
 class Admin:
     """Listens for operators."""
 
-    def __init__(self, desk: Desk) -> None:
-        self.desk = desk
+    def __init__(self) -> None:
+        self.desk: Desk | None = None  # until the relay is there every call gets a no
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # the one heard of last stands last
-        self._server: asyncio.Server | None = None
+        self.listeners: list[Listener] = []  # the own one first
+
+    async def start(self, sock: socket.socket, former: Counts = NOTHING) -> None:
+        """Begin to answer."""
+        self.listeners.append(Listener(sock, lambda: Caller(self, former)))
+        await self.listeners[-1].start()
 
-    async def start(self, address: Address) -> None:
-        """Begin to listen."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Caller(self), *address, backlog=128)
+    async def take(self, sock: socket.socket, former: Counts) -> None:
+        """Answer for a while at the address of the process before, as it would have."""
+        await self.start(sock, former)
+        asyncio.get_running_loop().call_later(FORMER_S, self.listeners[-1].close)
+
+    def answer(self, request: h11.Request, former: Counts) -> Answer:
+        """The answer to one call."""
+        if self.desk is None:
+            return Answer(503, "starting\n")
+        return self.desk.answer(request.method, request.target, former)
 
     def joined(self, caller: Caller) -> None:
         """A new connection."""
@@ -209,7 +232,7 @@
 
     def close(self) -> None:
         """Stop listening and cut off whoever is there."""
-        if self._server is not None:
-            self._server.close()
+        for listener in self.listeners:
+            listener.close()
         for caller in list(self.callers):
             caller.end()
--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -4,10 +4,15 @@
 
 import asyncio
 import logging
+import math
 import re
+import socket
 from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Any
 
 from mallowlug import resp
+from mallowlug.listen import Listener
 from mallowlug.relay import Driver, Handed
 
 LOG = logging.getLogger(__name__)
@@ -71,9 +76,10 @@
 class Client(asyncio.Protocol):
     """One client's connection: requests in order, one answer each."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, data: bytes = b"", by_s: float | None = None) -> None:
         self._server = server
-        self._data = b""  # what came since the last whole request
+        self._data = data  # what came since the last whole request
+        self._by_s = by_s  # the loop's time until which one has to come; None: the usual patience
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
         self.ending = False
@@ -82,7 +88,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._wait()
+        if self._by_s != math.inf:  # else another process served it, and it stands between its requests
+            self._wait()
         self._server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -130,7 +137,18 @@
 
     def _wait(self) -> None:
         """A whole request has to come in time: silent peers and halves of requests hold descriptors."""
-        self._timer = asyncio.get_running_loop().call_later(PATIENCE_S, self._late)
+        loop = asyncio.get_running_loop()
+        by_s, self._by_s = self._by_s or loop.time() + PATIENCE_S, None
+        self._timer = loop.call_at(by_s, self._late)
+
+    def left(self) -> tuple[dict[str, Any], int] | None:
+        """What another process needs to serve it on, and its descriptor; None where it is being ended."""
+        transport = self._transport
+        if transport is None or self._parted or transport.is_closing() or transport.get_write_buffer_size():
+            return None
+        by_s = math.inf if self._timer is None else self._timer.when()
+        state = {"data": self._data.decode("latin-1"), "by_s": by_s, "ending": self.ending}
+        return state, transport.get_extra_info("socket").fileno()
 
     def _late(self) -> None:
         # Where no request has begun, a line would be read as the answer to one that crosses it.
@@ -168,18 +186,31 @@
     def __init__(self, driver: Driver, most: int) -> None:
         self._driver, self.most = driver, most
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one heard of last stands last
-        self._server: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.refusing = False
 
-    async def start(self, address: tuple[str, int]) -> None:
-        """Begin to listen; the journal must have been replayed by then."""
+    async def start(self, sock: socket.socket) -> None:
+        """Begin to accept; the journal must have been replayed by then."""
+        self.listener = Listener(sock, lambda: Client(self))
+        await self.listener.start()
+
+    def leave(self) -> tuple[list[dict[str, Any]], list[int]]:
+        """What another process needs of each client, and their descriptors."""
+        left = [found for client in self.clients if (found := client.left()) is not None]
+        return [state for state, _ in left], [fd for _, fd in left]
+
+    async def take(self, left: list[dict[str, Any]], socks: Iterable[socket.socket]) -> None:
+        """Serve the clients of another process on."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), *address, backlog=512)
+        for state, sock in zip(left, socks, strict=True):
+            client = Client(self, state["data"].encode("latin-1"), state["by_s"])
+            client.ending = state["ending"]
+            await loop.connect_accepted_socket(lambda client=client: client, sock)  # type: ignore[misc]
 
     @property
     def serving(self) -> bool:
         """Whether clients are taken."""
-        return self._server is not None and not self.refusing
+        return self.listener is not None and not self.refusing
 
     def joined(self, client: Client) -> None:
         """A new connection; over the bound the one that was silent longest goes, between its requests.
@@ -200,8 +231,8 @@
 
     def close(self) -> None:
         """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        if self.listener is not None:
+            self.listener.close()
 
     def answer(self, request: list[bytes] | None) -> bytes:
         """The answer to one whole request; None is one that is something else."""
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -33,6 +33,8 @@
     sockets: int
     known: HostList
     admin: Address | None = None  # where operators call; None: nowhere
+    passed_socket: int | None = None  # the descriptor on which clients come; None: listen by oneself
+    folder: Path = Path()  # for what processes of this relay share and need not outlast them
 
 
 def address_of(text: str) -> Address:
@@ -103,6 +105,8 @@
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
             sockets=int(limits.get("sockets", 1024)),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
+            passed_socket=int(passed) if (passed := environ.get("ROUTER_PASSED_SOCKET")) else None,
+            folder=Path(environ.get("TMPDIR") or environ["ROUTER_STATE"]),
             admin=address_of(admin) if (admin := environ.get("ROUTER_ADMIN") or raw.get("admin")) else None,
         )
     except KeyError as error:
--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -78,7 +78,7 @@
     def __init__(
         self, address: Address, seq: int, told: Callable[[HostList], None], failed: Callable[[], None]
     ) -> None:
-        self._address, self._seq, self._told, self._failed = address, seq, told, failed
+        self._address, self.seq, self._told, self._failed = address, seq, told, failed
         self._task: asyncio.Task[None] | None = None
         self._answered = False
 
@@ -90,6 +90,11 @@
             self._task.cancel()
         self._start()
 
+    def resume(self, seq: int) -> None:
+        """Watch on from the version that another process had."""
+        self.seq = seq
+        self.subscribe()
+
     def move(self, address: Address) -> None:
         """Watch at another address; the old one tells nothing new and will soon end its watch."""
         if address == self._address:
@@ -113,7 +118,7 @@
         try:
             async with asyncio.timeout(FIRST_S):
                 connection = await Connection.open(self._address)
-                target = f"{HOSTS}?watch=1&from={self._seq}"
+                target = f"{HOSTS}?watch=1&from={self.seq}"
                 await connection.send(connection.request("GET", target, []))
                 answer = await connection.response()
             if answer.status_code != 200:
@@ -145,10 +150,10 @@
 
     def _line(self, news: HostList) -> None:
         self._answered = True
-        if news.seq < self._seq:  # older than what is held: applied, it would undo a drain
-            LOG.warning("discovery: version %d after %d left out", news.seq, self._seq)
-            news = HostList(self._seq, False, ())
-        self._seq = news.seq
+        if news.seq < self.seq:  # older than what is held: applied, it would undo a drain
+            LOG.warning("discovery: version %d after %d left out", news.seq, self.seq)
+            news = HostList(self.seq, False, ())
+        self.seq = news.seq
         self._told(news)
 
 
--- /dev/null
+++ b/mallowlug/handover.py
@@ -0,0 +1,256 @@
+"""Replacing the process: who is the relay, and how it passes to the next process whole.
+
+Whoever holds the lock is the relay. It gives everything away within one callback of its loop, so that
+nothing changes meanwhile, and until its last word, ``YOURS``, it can go on as if nobody had asked. The other
+uses what it got only after that word and with the lock in its hands; without it, it takes up the journal.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import logging
+import os
+import resource
+import signal
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+LOG = logging.getLogger(__name__)
+LOOK_S = 0.01  # s between looks whether the lock is free or its holder can be asked
+ASK_S = 1.0  # s in which the one that asks has to say what it can take
+GIVE_S = 1.0  # s in which the other has to take each piece while this process stands still
+ANSWER_S = 10.0  # s for the first word of the holder, which may let its calls end before
+STAY_S = 30.0  # s that a process which gave everything away waits for its end
+PIECE, MOST_FDS = 32 * 1024, 200  # bytes in a message; descriptors in one
+MOST_PATH = 107  # bytes of a Unix socket's address
+TAKEN, YOURS = b"taken", b"yours"
+CREDENTIALS = struct.Struct("3i")
+
+
+@dataclass(slots=True)
+class Estate:
+    """Everything that one process gives to the next."""
+
+    told: dict[str, Any]  # what any version can read
+    memory: bytes  # what only the same layout can read; empty between others
+    fds: list[int]
+
+
+@dataclass(slots=True)
+class Inheritance:
+    """An estate as it arrived; the giver waits at ``giver`` until that is closed."""
+
+    told: dict[str, Any]
+    memory: bytes
+    socks: list[socket.socket]
+    giver: socket.socket
+
+
+class Lock:
+    """The one thing that makes a process the relay; it goes with the process that holds it."""
+
+    def __init__(self, folder: Path) -> None:
+        self._fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+
+    def taken(self) -> bool:
+        """Take it; False while another process holds it."""
+        try:
+            fcntl.flock(self._fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Let go of it."""
+        os.close(self._fd)
+
+
+@contextmanager
+def short(path: Path) -> Iterator[str]:
+    """A name for a socket's path that fits an address, however deep its folder lies."""
+    if len(os.fsencode(path)) <= MOST_PATH:
+        yield str(path)
+        return
+    fd = os.open(path.parent, os.O_PATH | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        yield f"/proc/self/fd/{fd}/{path.name}"
+    finally:
+        os.close(fd)
+
+
+def trusted(sock: socket.socket) -> bool:
+    """Whether the other side runs as the same user: what it sends is taken for one's own memory."""
+    raw = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+    return bool(CREDENTIALS.unpack(raw)[1] == os.getuid())
+
+
+def piece(sock: socket.socket, most: int = PIECE) -> bytes:
+    """One message; an end in its place raises."""
+    if not (data := sock.recv(most)):
+        raise ConnectionResetError("the other process ended")
+    return data
+
+
+def give(sock: socket.socket, estate: Estate) -> None:
+    """Give everything away; ``OSError`` where the other did not take it, and nothing has changed then."""
+    sock.settimeout(GIVE_S)
+    told = json.dumps(estate.told).encode()
+    sizes = {"told": len(told), "memory": len(estate.memory), "fds": len(estate.fds)}
+    sock.send(json.dumps(sizes).encode())
+    data = told + estate.memory
+    for at in range(0, len(data), PIECE):
+        sock.send(data[at : at + PIECE])
+    for at in range(0, len(estate.fds), MOST_FDS):
+        socket.send_fds(sock, [b"f"], estate.fds[at : at + MOST_FDS])
+    if piece(sock) != TAKEN:
+        raise ConnectionResetError("the other process did not take it")
+    sock.send(YOURS)
+
+
+def receive(sock: socket.socket, sizes: dict[str, int]) -> Inheritance:
+    """Everything that the other gives, up to its last word; ``OSError`` where it remains the relay."""
+    sock.settimeout(GIVE_S)
+    data, socks = bytearray(), list[socket.socket]()
+    try:
+        while len(data) < sizes["told"] + sizes["memory"]:
+            data += piece(sock)
+        while len(socks) < sizes["fds"]:
+            word, fds, _, _ = socket.recv_fds(sock, 1, MOST_FDS)
+            socks += [socket.socket(fileno=fd) for fd in fds]
+            if not word or not fds:
+                raise ConnectionResetError("descriptors are missing")
+        sock.send(TAKEN)
+        if piece(sock) != YOURS:
+            raise ConnectionResetError("no last word")
+    except OSError:
+        for passed in socks:
+            passed.close()
+        raise
+    told = json.loads(bytes(data[: sizes["told"]]))
+    return Inheritance(told, bytes(data[sizes["told"] :]), socks, sock)
+
+
+async def ask(path: Path, layout: str) -> Inheritance | None:
+    """Ask the holder of the lock for everything; None where nobody gives it."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    try:
+        sock.setblocking(False)
+        with short(path) as name:
+            await loop.sock_connect(sock, name)
+        if not trusted(sock):
+            raise PermissionError("another user's process")
+        await loop.sock_sendall(sock, json.dumps({"layout": layout}).encode())
+        async with asyncio.timeout(ANSWER_S):
+            first = await loop.sock_recv(sock, PIECE)
+        if not first:
+            raise ConnectionResetError("the other process ended")
+        return receive(sock, json.loads(first))
+    except (OSError, TimeoutError, ValueError, KeyError) as error:
+        LOG.info("handover: nothing was given: %r", error)
+        sock.close()
+        return None
+
+
+async def succeed(lock: Lock, path: Path, layout: str) -> Inheritance | None:
+    """Become the relay: with what its process gives, or with the journal alone (None) once that is gone."""
+    while not lock.taken():
+        if (given := await ask(path, layout)) is not None:
+            while not lock.taken():  # the giver lets go of it right behind its last word
+                await asyncio.sleep(0)
+            return given
+        await asyncio.sleep(LOOK_S)
+    return None
+
+
+class Offer:
+    """The relay's side: whoever asks at the socket and can take the relay over gets it."""
+
+    def __init__(
+        self,
+        path: Path,
+        layout: str,
+        still: Callable[[bool], Awaitable[None]],
+        estate: Callable[[bool], Estate],
+        go_on: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._path, self._layout = path, layout
+        self._still, self._estate, self._go_on = still, estate, go_on
+        self._sock: socket.socket | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Listen; what an earlier process left there is dead, for the lock is held."""
+        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self._sock.setblocking(False)
+        try:
+            self._path.unlink(missing_ok=True)
+            with short(self._path) as name:
+                self._sock.bind(name)
+            self._sock.listen(4)
+        except OSError as error:
+            LOG.error("handover: the process cannot be replaced while it serves: %s", error)
+            return
+        self._task = asyncio.create_task(self._run(self._sock))
+
+    def close(self) -> None:
+        """Give nothing any more."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._sock is not None:
+            self._sock.close()
+
+    async def _run(self, listening: socket.socket) -> None:
+        while True:
+            sock, _ = await asyncio.get_running_loop().sock_accept(listening)
+            try:
+                await self._asked(sock)
+            except Exception:
+                LOG.exception("handover: a process that asked broke off")
+            finally:
+                sock.close()
+
+    async def _asked(self, sock: socket.socket) -> None:
+        """Give everything away and act no more, or go on as before."""
+        loop = asyncio.get_running_loop()
+        if not trusted(sock):
+            return
+        async with asyncio.timeout(ASK_S):
+            asked = json.loads(await loop.sock_recv(sock, PIECE) or b"{}")
+        if "layout" not in asked:
+            return
+        same = asked["layout"] == self._layout
+        LOG.info("handover: asked for by a process of %s layout", "the same" if same else "another")
+        await self._still(same)
+        start_s = loop.time()
+        try:
+            # From here to the end nothing else runs in this process.
+            estate = self._estate(same)
+            give(sock, estate)
+        except Exception as error:
+            LOG.error("handover: not taken in %.0f ms, serving on: %r", 1e3 * (loop.time() - start_s), error)
+            await self._go_on()
+            return
+        LOG.info("handover: %d sockets given in %.0f ms", len(estate.fds), 1e3 * (loop.time() - start_s))
+        leave(sock)
+
+
+def leave(sock: socket.socket) -> None:
+    """Let go of every descriptor, the lock with them; end once the other process says so, or SIGTERM."""
+    signal.set_wakeup_fd(-1)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    os.closerange(3, sock.fileno())
+    os.closerange(sock.fileno() + 1, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    sock.settimeout(STAY_S)
+    with suppress(OSError):
+        sock.recv(1)
+    os._exit(0)
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -8,15 +8,16 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
 
 import h11
 
 from mallowlug.discovery import HostList, Listed
-from mallowlug.http import FAULTS, Connection, Headers
+from mallowlug.http import FAULTS, Address, Connection, Headers
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
     sent_s: float
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
-    carried: int = 0  # messages that its request carries
+    carried: list[Part] = field(default_factory=list)  # what its request carries
     idle_ms: int | None = None  # how long its connection had stood idle; None: it is new
 
     @property
@@ -83,7 +84,7 @@
     @property
     def delivered(self) -> bool:
         """Whether its one message is known to be delivered, although no whole answer could be read."""
-        return self.carried == 1 and self.connection is not None and self.connection.says_delivered
+        return len(self.carried) == 1 and self.connection is not None and self.connection.says_delivered
 
     @property
     def open(self) -> list[Part]:
@@ -91,6 +92,15 @@
         return [part for part in self.parts if not part.settled]
 
 
+@dataclass(frozen=True, slots=True)
+class Left:
+    """What another process needs to go on with the list, the calls and the connections."""
+
+    listed: dict[str, Listed]
+    calls: list[tuple[Call, bytes | None]]  # each with its answer so far; None: it was not written whole
+    idle: list[tuple[str, float]]  # idle connections: host, and monotonic time since when
+
+
 Settled = Callable[[Call, Part, Told], None]
 
 
@@ -231,6 +241,16 @@
         listed = self._listed.get(host)
         return 1 if listed is None else self._kind(listed).batch
 
+    @property
+    def waits(self) -> dict[str, float]:
+        """By route: the monotonic time until which it is to be left alone."""
+        return {route: until_s for route, until_s in self._waits.items() if until_s > time.monotonic()}
+
+    def heed(self, waits: dict[str, float]) -> None:
+        """Keep the waits that another process was told."""
+        for route, until_s in waits.items():
+            self._waits[route] = max(self._waits.get(route, 0.0), until_s)
+
     def wait_left_us(self, host: str) -> int:
         """How long the host is still to be left alone."""
         return max(0, int((self._waits.get(self._route(host), 0.0) - time.monotonic()) * 1e6))
@@ -244,11 +264,56 @@
 
     def send(self, call: Call) -> None:
         """Start one call; each part is settled when its message's time is up at the latest."""
+        self._start(call, self._exchange, time.monotonic())
+
+    def _start(self, call: Call, exchange: Callable[[Call], Awaitable[bool]], since_s: float) -> None:
         loop = asyncio.get_running_loop()
         self.calls.add(call)
-        for part in call.parts:
-            part.timer = loop.call_later(part.limit_us / 1e6, self._late, call, part)
-        call.task = loop.create_task(self._run(call))
+        for part in call.open:
+            if part.overdue:
+                until_s = since_s + max(part.limit_us, part.left_us) / 1e6
+                part.timer = loop.call_at(until_s, self._stop, call, part, Verdict.TIMEOUT)
+            else:
+                part.timer = loop.call_at(since_s + part.limit_us / 1e6, self._late, call, part)
+        call.task = loop.create_task(self._run(call, exchange))
+
+    def leave(self) -> tuple[Left, list[int]]:
+        """What another process takes over, and the descriptors of its calls and then of its connections."""
+        calls, fds = list[tuple[Call, bytes | None]](), list[int]()
+        for call in self.calls:
+            if not call.open:  # only the rest of its answer is out
+                continue
+            parts = {id(part): replace(part, timer=None) for part in call.parts}
+            carried = [parts[id(part)] for part in call.carried]
+            copy = Call(call.host, list(parts.values()), call.sent_s, carried=carried, idle_ms=call.idle_ms)
+            came = None
+            if call.connection is not None and call.written:
+                came = bytes(call.connection.came)
+                fds.append(call.connection.sock.fileno())
+            calls.append((copy, came))
+        idle = [(host, connection) for host, items in self._idle.items() for connection, _ in items]
+        fds += [connection.sock.fileno() for _, connection in idle]
+        return Left(self._listed, calls, [(host, connection.kept_s) for host, connection in idle]), fds
+
+    def take(self, left: Left, socks: Iterator[socket.socket]) -> None:
+        """Go on with what another process left."""
+        self._listed = left.listed
+        for call, came in left.calls:
+            if came is None:
+                for part in call.open:
+                    self._settle(call, part, Told(Verdict.NOT_SENT))
+                continue
+            call.connection = Connection(next(socks), self._dial(call.host))
+            request_of(call.connection, call.carried)  # its bytes are out; the answer is read as theirs
+            call.connection.read_on(came)
+            self._start(call, self._answered, call.sent_s)
+        for host, kept_s in left.idle:
+            connection = Connection(next(socks), self._dial(host))
+            self._put(host, connection, kept_s)
+
+    def _dial(self, host: str) -> Address:
+        """Where a host is reached; of one that left the list only connections are left, which need none."""
+        return self._listed[host].dial if host in self._listed else ("", 0)
 
     def cancel(self, ref: str, attempt: int) -> None:
         """Call one attempt off."""
@@ -312,11 +377,11 @@
         if last and call.task is not None:
             call.task.cancel()
 
-    async def _run(self, call: Call) -> None:
+    async def _run(self, call: Call, exchange: Callable[[Call], Awaitable[bool]]) -> None:
         """Connect, write, read: every way out settles what is open and leaves no connection behind."""
         told, keep = Told(Verdict.RESET), False
         try:
-            keep = await self._exchange(call)
+            keep = await exchange(call)
         except (*FAULTS, TimeoutError) as error:
             LOG.info("hosts: call to %s with %s broke: %r", call.host, call.parts[0].id, error)
             told = broken(call, error)
@@ -331,7 +396,7 @@
                 self._settle(call, part, told)
 
     async def _exchange(self, call: Call) -> bool:
-        """The call itself; whether its connection can serve again."""
+        """The whole call; whether its connection can serve again."""
         connection = self._take(call.host) or await self._open(call.host)
         call.connection = connection
         if connection.kept_s:
@@ -342,9 +407,15 @@
             for part in parts:
                 self._settle(call, part, barred)
             return self._keep(call.host, connection)
-        call.carried = len(parts)
+        call.carried = parts
         await connection.send(request_of(connection, parts))
         self.written += len(parts)
+        return await self._answered(call)
+
+    async def _answered(self, call: Call) -> bool:
+        """The answer to a call that is out; whether its connection can serve again."""
+        connection, parts = call.connection, call.carried
+        assert connection is not None
         answer = await connection.response()
         wait_us, report = wait_of(answer), report_of(answer)
         if wait_us:
@@ -412,12 +483,15 @@
         if sum(map(len, self._idle.values())) >= self._most_idle:
             self.counts["over the bound"] += 1
             return False
+        self._put(host, connection, time.monotonic())
+        return True
+
+    def _put(self, host: str, connection: Connection, kept_s: float) -> None:
         loop = asyncio.get_running_loop()
-        connection.kept_s = time.monotonic()
-        timer = loop.call_later(self._idle_s, self._expire, host, connection)
+        connection.kept_s = kept_s
+        timer = loop.call_at(kept_s + self._idle_s, self._expire, host, connection)
         loop.add_reader(connection.sock, self._expire, host, connection)
         self._idle.setdefault(host, []).append((connection, timer))
-        return True
 
     def _expire(self, host: str, connection: Connection) -> None:
         """An idle connection has stood too long, or the host has ended it."""
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -12,7 +12,7 @@
 Address = tuple[str, int]
 Headers = list[tuple[str, str]]
 MOST_HEAD = 16 * 1024  # bytes of a status line and headers
-MOST_LINE = 1024  # bytes of an answer that are kept to tell what its first line says
+MOST_KEPT = 96 * 1024  # bytes of an answer that are kept, for its first line and for a process that reads on
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
 READ = 64 * 1024
 REST_S = 0.1  # s for the rest of an answer whose first line has said all that matters
@@ -21,12 +21,12 @@
 class Connection:
     """A connection whose owner knows exactly how many bytes of its request are still here."""
 
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.unsent = sock, 0
+    def __init__(self, sock: socket.socket, address: Address) -> None:
+        self.sock, self.unsent, self._address = sock, 0, address
         self.begun = False  # whether a byte of the present request has gone out
         self.kept_s = 0.0  # monotonic time since which it stands idle; 0 until its first call is over
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
-        self._first = b""  # how the present answer begins
+        self.came = bytearray()  # the present answer so far
         self._brief, self._by_s = False, math.inf  # whether 200 says all; the loop's time to wait until then
 
     @classmethod
@@ -40,15 +40,14 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock)
+        return cls(sock, address)
 
     def request(
         self, method: str, target: str, headers: Headers, body: bytes = b"", brief: bool = False
     ) -> bytes:
         """A request's bytes; where ``brief``, a 200 says all, and the rest is waited for only shortly."""
-        self._first, self._brief, self._by_s = b"", brief, math.inf
-        host, port = self.sock.getpeername()[:2]
-        headers = [("Host", f"{host}:{port}"), *headers]
+        self.came, self._brief, self._by_s = bytearray(), brief, math.inf
+        headers = [("Host", f"{self._address[0]}:{self._address[1]}"), *headers]
         if method != "GET":
             headers.append(("Content-Length", str(len(body))))
         parts = [
@@ -88,14 +87,23 @@
         """The next part of the answer; a broken or ended connection raises."""
         while (event := self._http.next_event()) is h11.NEED_DATA:
             data = await self._more()
-            if not data and not self._first:
+            if not data and not self.came:
                 raise ConnectionResetError("ended without an answer")
-            self._first += data[: MOST_LINE - len(self._first)]
-            self._http.receive_data(data)
+            self._take(data)
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionResetError("closed before an answer")
         return event  # type: ignore[return-value]
 
+    def _take(self, data: bytes) -> None:
+        self.came += data[: MOST_KEPT - len(self.came)]
+        self._http.receive_data(data)
+
+    def read_on(self, came: bytes) -> None:
+        """Go on with an answer that another process began to read; the request is out, whole."""
+        self.begun = True
+        if came:
+            self._take(came)
+
     async def _more(self) -> bytes:
         """The next bytes of the answer.
 
@@ -111,7 +119,7 @@
     @property
     def says_delivered(self) -> bool:
         """Whether a first line with 200 has come, which is true even where the rest cannot be read."""
-        return DELIVERED.match(self._first) is not None
+        return DELIVERED.match(self.came) is not None
 
     async def response(self) -> h11.Response:
         """Status and headers of the final answer."""
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -7,21 +7,28 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
+import inspect
 import logging
+import socket
+import sys
 import time
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Set
 from dataclasses import asdict, dataclass
 from itertools import islice
 from typing import Any
 
+from mallowlug import hosts
 from mallowlug.config import Config
 from mallowlug.discovery import HostList, Notice, Notices, Watch
-from mallowlug.hosts import Call, Hosts, Part, Told
+from mallowlug.hosts import Call, Hosts, Left, Part, Told
 from mallowlug.http import Address
 from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
 from mossfront import Relay as Module
 from mossfront import interface as api
+from mossfront import state
+from mossfront.interface import Settings
 
 LOG = logging.getLogger(__name__)
 STATUS_S = 5.0  # s between log lines on connections
@@ -31,12 +38,13 @@
 class Clock:
     """Wall time that never jumps within one life: deadlines and attempts in the journal go by it."""
 
-    def __init__(self) -> None:
-        self._offset_us = (time.time_ns() - time.monotonic_ns()) // 1000
+    def __init__(self, offset_us: int | None = None) -> None:
+        usual_us = (time.time_ns() - time.monotonic_ns()) // 1000
+        self.offset_us = usual_us if offset_us is None else offset_us  # given: another's goes on
 
     def __call__(self) -> int:
         """Microseconds since the epoch."""
-        return time.monotonic_ns() // 1000 + self._offset_us
+        return time.monotonic_ns() // 1000 + self.offset_us
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,16 +69,55 @@
     attempts: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a process of the same layout takes over beside the journal: nothing of it outlasts both."""
+
+    offset_us: int  # of the clock
+    module: Module
+    inbox: list[api.Event]
+    seq: int  # of the list
+    hosts: Left
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What a process of any version takes over."""
+
+    over: list[str]
+    waits: dict[str, float]
+    ever: list[str]
+
+
+def layout(settings: Settings) -> str:
+    """A name for what ``Memory`` holds: the same in two processes only if one can go on with the other's.
+
+    It is the text of every record in it, and of what the module keeps. Decisions may differ.
+    """
+    texts = [inspect.getsource(part) for part in (state, api, hosts, Module.__init__, Memory)]
+    return hashlib.sha256("\0".join([*texts, repr(settings), sys.version]).encode()).hexdigest()
+
+
 SERVED, REFUSED, FAILED = ENDS = ("served", "refused", "failed")
 
 
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """What is counted from the start of a process."""
+
+    ended: Counter[tuple[str, str]]  # messages by class and how they ended
+    attempts: int  # messages written whole to endpoints
+
+    def __add__(self, other: Counts) -> Counts:
+        return Counts(self.ended + other.ended, self.attempts + other.attempts)
+
+
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """What operators read, as it is now; what is counted is counted from the start of the process."""
+    """What operators read, as it is now."""
 
     classes: tuple[str, ...]
-    ended: Counter[tuple[str, str]]  # by class and how it ended
-    attempts: int
+    counts: Counts
     in_flight: int
     endpoints_known: int
     endpoints_excluded: int
@@ -100,6 +147,7 @@
         self._status: asyncio.TimerHandle | None = None  # of the next status line
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
+        self._put_off: list[api.Send] = []  # calls that were not made for that
         self._classes = {cls.name for cls in config.settings.classes}
         self._known = config.known
 
@@ -107,17 +155,46 @@
         """Take up what the last life left, then follow the list; called before clients are answered."""
         self._notices.start()
         self._listed(self._known, api.RosterKind.CACHED)
+        self._take_up()
+
+    def _take_up(self, known: Set[str] = frozenset()) -> None:
+        """The journal's messages and bans, then the first step; the module knows some already."""
         for host in self._journal.banned:
             self._leave_out(host, True)
         now_us = self.clock()
         for message in self._journal.recovered.values():
-            self._resume(message, now_us)
+            self._resume(message, now_us, message.id in known)
         if count := len(self._journal.recovered):
             LOG.info("journal: %d unfinished messages taken up", count)
         self._journal.recovered.clear()
+        self._post(api.TimerDue())
         self._step()
         self._report()
 
+    def leave(self) -> tuple[Heard, Memory, list[int]]:
+        """What the next process takes over, and the descriptors of what is out; for this moment alone."""
+        left, fds = self._hosts.leave()
+        memory = Memory(self.clock.offset_us, self._module, self._inbox, self._watch.seq, left)
+        return Heard(list(self._over), self._hosts.waits, list(self._hosts.ever)), memory, fds
+
+    def heed(self, heard: Heard) -> None:
+        """Take over from a process of any version, before the start."""
+        self._over.update(dict.fromkeys(heard.over))
+        self._hosts.heed(heard.waits)
+        self._hosts.ever.update(heard.ever)
+
+    def go_on(self, memory: Memory, socks: Iterator[socket.socket]) -> None:
+        """Start with what a process of the same layout has left, in place of a fresh module."""
+        self.clock = Clock(memory.offset_us)
+        self._module = memory.module
+        self._module.resume()
+        self._inbox = memory.inbox
+        self._notices.start()
+        known = {event.id for event in self._inbox if isinstance(event, api.Arrival)}
+        self._hosts.take(memory.hosts, socks)
+        self._take_up(known | self._module.messages.keys())
+        self._watch.resume(memory.seq)
+
     def _report(self) -> None:
         """A line for the people on call: what became of connections to hosts so far."""
         counts = ", ".join(f"{count} {name}" for name, count in sorted(self._hosts.counts.items()))
@@ -125,9 +202,15 @@
         LOG.info("holds %d messages, %d calls out; connections: %s", len(self._held), out, counts)
         self._status = asyncio.get_running_loop().call_later(STATUS_S, self._report)
 
-    def shut_down(self, stop_s: float) -> None:
-        """From now on only calls are started that end by then; the rest stays in the journal."""
+    def shut_down(self, stop_s: float | None) -> None:
+        """From now on only calls are started that end by then, the rest stays in the journal; None: go on."""
         self._stop_s = stop_s
+        if stop_s is None:  # the module took these for calls out
+            put_off, self._put_off = self._put_off, []
+            for send in put_off:
+                if send.id in self._held:
+                    call = Call(send.host, [self._part(send, self.clock())], time.monotonic())
+                    self._settled(call, call.parts[0], Told(api.Verdict.NOT_SENT))
 
     def follow(self, discovery: Address) -> None:
         """Watch the list at this address from now on, and post notices there."""
@@ -164,8 +247,7 @@
         """What operators read."""
         return Figures(
             tuple(cls.name for cls in self._set.classes),
-            self._ended,
-            self._hosts.written,
+            Counts(self._ended, self._hosts.written),
             len(self._held),
             self._module.known,
             self._module.excluded,
@@ -211,7 +293,7 @@
         left_us = handed.deadline_us - now_us
         return api.Arrival(handed.id, handed.dest, handed.cls, left_us, handed.tenant, handed.order, **former)
 
-    def _resume(self, message: Recovered, now_us: int) -> None:
+    def _resume(self, message: Recovered, now_us: int, known: bool) -> None:
         """Give a message of the last life back to the module, or send its notice once more.
 
         An attempt without a proof that it never ran may have run, also one that was out at the end.
@@ -230,6 +312,8 @@
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
         self._held[message.id] = Held(handed, message.body, attempts)
+        if known:
+            return
         former: dict[str, Any] = {"attempts": attempts}
         if risky := [a for a in message.attempts if not a.never_ran]:
             first = min(risky, key=lambda attempt: attempt.at_us)
@@ -358,14 +442,12 @@
         """Sends of one step to one host share calls up to the kind's bound, journaled before any byte."""
         rest = iter(batch)
         while chunk := list(islice(rest, self._hosts.batch(host))):
+            self._put_off += [send for send in chunk if not self._can_end(send)]
             chunk = [send for send in chunk if send.id in self._held and self._can_end(send)]
             parts, tries, now_us = [], [], self.clock()
             for send in chunk:
-                held = self._held[send.id]
-                number, held.attempts = held.attempts, held.attempts + 1
-                left_us = held.handed.deadline_us - now_us
-                parts.append(Part(send.id, number, held.handed.key, held.body, send.limit_us, left_us))
-                tries.append((send.id, Attempt(number, host, self._hosts.zone(host), now_us)))
+                parts.append(part := self._part(send, now_us))
+                tries.append((send.id, Attempt(part.attempt, host, self._hosts.zone(host), now_us)))
             if not parts:
                 continue
             call = Call(host, parts, time.monotonic())
@@ -378,6 +460,13 @@
                 continue
             self._hosts.send(call)
 
+    def _part(self, send: api.Send, now_us: int) -> Part:
+        """The message's next attempt."""
+        held = self._held[send.id]
+        number, held.attempts = held.attempts, held.attempts + 1
+        left_us = held.handed.deadline_us - now_us
+        return Part(send.id, number, held.handed.key, held.body, send.limit_us, left_us)
+
     def _can_end(self, send: api.Send) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
         now_s = asyncio.get_running_loop().time()
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -67,6 +67,10 @@
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
         self.ends: list[tuple[int, int, Message]] = []  # heap: when to answer a held message
 
+    def resume(self) -> None:
+        """Go on in another process: the wake-up that was asked for went with the old one."""
+        self.wake_us = -1
+
     def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in every event of the batch, then answer and dispatch once."""
         self.now, self.actions = now_us, []
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -18,16 +18,6 @@
     return world
 
 
-async def counted(world: World, name: str, value: int) -> None:
-    """Wait until a figure has a value."""
-
-    async def seen() -> None:
-        while (await world.figures())[name] != value:
-            await asyncio.sleep(0.01)
-
-    await soon(seen())
-
-
 async def test_health_says_yes_once_clients_are_taken(manned: World) -> None:
     await manned.run()
     assert (await manned.call("GET", "health"))[0] == 200
@@ -47,7 +37,7 @@
     await manned.directory.notice("m3")
     await client.hand_in("m4", "keyed", dest=2)
     await held.call(0)
-    await counted(manned, "requests.safe.served", 1)
+    await manned.counted("requests.safe.served", 1)
     figures = await manned.figures()
     assert {name: value for name, value in figures.items() if value} == {
         "requests.safe.served": 1,
@@ -98,9 +88,9 @@
 async def test_an_endpoint_that_left_the_list_can_still_be_banned(manned: World) -> None:
     await manned.add("h1")
     await manned.run()
-    await counted(manned, "endpoints_known", 1)
+    await manned.counted("endpoints_known", 1)
     manned.directory.change("h1", health="DELETED")
-    await counted(manned, "endpoints_known", 0)
+    await manned.counted("endpoints_known", 0)
     assert (await manned.call("PUT", "cordon?who=h1"))[0] == 200
 
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,260 @@
+"""A process that takes the relay over from another: nobody outside sees two, or none."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+
+from mallowlug import handover
+from tests.world import Client, World, enqueue, packed, silent, soon
+
+
+@pytest.fixture
+def held(world: World) -> World:
+    """A relay whose clients' socket is the platform's, with an operators' address."""
+    world.listen()
+    world.admin_port = world.free_port()
+    return world
+
+
+async def upgraded(world: World) -> None:
+    """Start another process with a new operators' address, until it says yes and the old one is gone."""
+    old, world.admin_port = world.process, world.free_port()
+    assert old is not None
+    await world.spawn()
+
+    async def yes() -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                if (await world.call("GET", "health"))[0] == 200:
+                    return
+            await asyncio.sleep(0.01)
+
+    await soon(yes())
+    assert await soon(old.wait()) == 0
+
+
+async def test_a_client_and_half_its_request_go_over(held: World) -> None:
+    """The connection is never closed, so no close can cross a request."""
+    host = await held.add("h1")
+    client = await held.run()
+    request = packed(*enqueue("m1"))
+    client.writer.write(request[:20])
+    await client.writer.drain()
+    await upgraded(held)
+    assert await client.raw(request[20:]) == b"+OK"
+    assert await client.hand_in("m2") == b"+OK"
+    await host.until(lambda: {ref for call in host.seen for ref in call.ids} == {"m1", "m2"})
+
+
+@pytest.mark.parametrize("cls", ["unsafe", "keyed", "safe"])
+async def test_a_call_that_is_out_is_not_cut(held: World, cls: str) -> None:
+    """Its answer reaches the new process on the same connection, and nothing is sent twice."""
+    host = await held.add("h1", silent)
+    client = await held.run()
+    await client.hand_in("m1", cls)
+    call = await host.call(0)
+    await upgraded(held)
+    host.default = lambda request: request.answer()
+    call.answer()
+    await held.counted(f"requests.{cls}.served", 1)
+    assert await client.hand_in("m2", cls) == b"+OK"
+    assert (await host.call(1)).ids == ["m2"]
+    assert host.seen[1].connection == call.connection
+    assert held.directory.notices == []
+
+
+async def test_an_answer_is_read_on_where_the_old_process_stopped(held: World) -> None:
+    host = await held.add("h1", silent, kind="banks")
+    client = await held.run()
+    client.writer.write(packed(*enqueue("m1", "unsafe")) + packed(*enqueue("m2", "unsafe")))
+    call = await host.call(0)
+    assert sorted(call.ids) == ["m1", "m2"]
+    body = b"m1 delivered\r\nm2 failed\r\n"
+    call.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:20])
+    await call.writer.drain()
+    await upgraded(held)
+    call.writer.write(body[20:])
+    assert await held.directory.notice("m2") == {"ref": "m2", "result": "dead"}
+    assert [notice["ref"] for notice in held.directory.notices] == ["m2"]
+
+
+async def test_what_is_held_waits_and_bans_go_over(held: World) -> None:
+    """The wait is kept to its end, and the ban to its call back, by a process that was told neither."""
+    waits = await held.add("h1", lambda request: request.answer(429, X_Retry_In_Ms="20000"))
+    banned = await held.add("h2", block=2)
+    client = await held.run()
+    await client.hand_in("m1", dest=2)
+    await banned.call(0)
+    assert (await held.call("PUT", "cordon?who=h2"))[0] == 200
+    await client.hand_in("m2")
+    await waits.call(0)
+    await client.hand_in("m3", dest=2)
+    await held.journaled(b'"not"')
+    await upgraded(held)
+    assert (await held.figures())["in_flight"] == 2
+    await client.hand_in("m4", d=400)
+    await client.hand_in("m5", dest=2, d=400)
+    assert (await held.directory.notice("m4"))["result"] == "bounced"
+    assert (await held.directory.notice("m5"))["result"] == "bounced"
+    assert (len(waits.seen), len(banned.seen)) == (1, 1)
+    assert (await held.call("PUT", "uncordon?who=h2"))[0] == 200
+    assert (await banned.call(1)).ids == ["m3"]
+
+
+async def test_the_new_process_counts_from_its_start_and_answers_for_the_old_one(held: World) -> None:
+    """At the old address the old counts go on: its figures must not fall while the platform reads there."""
+    host = await held.add("h1")
+    client = await held.run()
+    await client.hand_in("m1")
+    await host.call(0)
+    await held.journaled(b'"over"')
+    old_port = held.admin_port
+    await upgraded(held)
+    await client.hand_in("m2")
+    await host.call(1)
+    await held.counted("requests.safe.served", 1)
+    assert (await held.figures(old_port))["requests.safe.served"] == 2
+
+
+async def test_upgrades_follow_one_another(held: World) -> None:
+    host = await held.add("h1")
+    client = await held.run()
+    for number in range(3):
+        await upgraded(held)
+        assert await client.hand_in(f"m{number}") == b"+OK"
+        assert (await host.call(number)).ids == [f"m{number}"]
+        assert await (await held.client()).command(b"PING") == b"+PONG"
+
+
+async def test_a_process_of_another_layout_gets_clients_and_the_journal(held: World) -> None:
+    """The old one lets its calls end first; what it holds goes through the journal."""
+    host = await held.add("h1", silent)
+    client = await held.run()
+    await client.hand_in("m1", "unsafe")
+    call = await host.call(0)
+    await client.hand_in("m2", dest=2)
+    held.settings["over_share_worth"] = 0.2
+    old, held.admin_port = held.process, held.free_port()
+    await held.spawn()
+    await asyncio.sleep(1)
+    call.answer()
+    assert old is not None
+    late = await held.add("h2", block=2)
+    assert (await late.call(0)).ids == ["m2"]
+    host.default = lambda request: request.answer()
+    assert await client.hand_in("m3") == b"+OK"
+    assert (await host.call(1)).ids == ["m3"]
+    assert held.directory.notices == []
+
+
+async def ask(world: World, *words: bytes) -> socket.socket:
+    """Ask as a new process would, and say these words, then nothing."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    with handover.short(world.folder / "handover.sock") as name:
+        sock.connect(name)
+    for word in words:
+        sock.send(word)
+    return sock
+
+
+@pytest.mark.parametrize("words", [(), (b"nonsense",), (b"{}",), (b'{"layout": "odd"}', b"no")])
+async def test_a_process_that_breaks_off_leaves_the_old_one_serving(
+    held: World, words: tuple[bytes, ...]
+) -> None:
+    host = await held.add("h1")
+    client = await held.run()
+    sock = await ask(held, *words)
+    if len(words) < 2:
+        sock.close()
+    assert await client.hand_in("m1") == b"+OK"
+    assert (await host.call(0)).ids == ["m1"]
+    assert await (await held.client()).command(b"PING") == b"+PONG"
+    assert (await held.call("GET", "health"))[0] == 200
+    sock.close()
+    await upgraded(held)  # and the next one that asks gets it
+
+
+async def test_a_new_process_that_dies_first_leaves_the_old_one_serving(held: World) -> None:
+    client = await held.run()
+    old, old_port = held.process, held.admin_port
+    held.admin_port = held.free_port()
+    new = await held.spawn()
+    new.kill()
+    await new.wait()
+    held.process, held.admin_port = old, old_port
+    assert await client.hand_in("m1") == b"+OK"
+    await upgraded(held)
+    assert await client.hand_in("m2") == b"+OK"
+
+
+async def test_the_lock_falls_to_the_new_process_when_the_old_one_is_killed(held: World) -> None:
+    """Nothing was given: the journal is taken up, and an unsafe call that was out is failed."""
+    host = await held.add("h1", silent)
+    client = await held.run()
+    await client.hand_in("m1", "unsafe")
+    await host.call(0)
+    old = held.process
+    assert old is not None
+    old.send_signal(signal.SIGSTOP)  # it cannot give anything
+    held.admin_port = held.free_port()
+    await held.spawn()
+    old.kill()
+    assert await held.directory.notice("m1") == {"ref": "m1", "result": "dead"}
+    assert isinstance(await held.client(), Client)
+
+
+async def test_sigterm_ends_a_process_that_waits_for_the_lock(held: World) -> None:
+    await held.run()
+    lock = handover.Lock(held.state)
+    assert not lock.taken()
+    lock.close()
+    old = held.process
+    assert old is not None
+    old.send_signal(signal.SIGSTOP)
+    held.admin_port = held.free_port()
+    new = await held.spawn()
+    await soon(starting(held))
+    new.terminate()
+    assert await soon(new.wait()) == 0
+    old.send_signal(signal.SIGCONT)
+
+
+async def starting(world: World) -> None:
+    """Wait until the operators' address answers: not yes, while another process is the relay."""
+    while True:
+        with contextlib.suppress(OSError):
+            assert (await world.call("GET", "health"))[0] == 503
+            return
+        await asyncio.sleep(0.01)
+
+
+def test_a_deep_folder_still_has_an_address(tmp_path: Path) -> None:
+    folder = tmp_path / ("d" * 120)
+    folder.mkdir()
+    with socket.socket(socket.AF_UNIX) as sock, handover.short(folder / "handover.sock") as name:
+        sock.bind(name)
+    assert (folder / "handover.sock").is_socket()
+
+
+def test_nothing_is_kept_of_what_was_given_without_the_last_word() -> None:
+    """The giver goes on then; what it gave would be owned twice."""
+    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    given, kept = socket.socketpair()
+    told = json.dumps({"a": 1}).encode()
+    theirs.send(told)
+    socket.send_fds(theirs, [b"f"], [given.fileno()])
+    given.close()
+    theirs.shutdown(socket.SHUT_WR)
+    with pytest.raises(ConnectionResetError):
+        handover.receive(ours, {"told": len(told), "memory": 0, "fds": 1})
+    kept.settimeout(5)
+    assert kept.recv(1) == b""  # the descriptor that had come was closed
+    for sock in (ours, theirs, kept):
+        sock.close()
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -334,7 +334,7 @@
 async def test_unsent_bytes_are_exact_when_a_write_is_cancelled() -> None:
     left, right = socket.socketpair()
     left.setblocking(False)
-    connection = Connection(left)
+    connection = Connection(left, ("127.0.0.1", 1))
     task = asyncio.create_task(connection.send(bytes(8 << 20)))
     while not connection.begun:
         await asyncio.sleep(0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -303,6 +303,8 @@
         self.settings = settings_json()
         self.disk_mb, self.sockets = 3.0, 1024
         self.admin_port = 0  # where operators call; 0: nowhere
+        self.passed: socket.socket | None = None  # the clients' socket, where the platform holds it
+        self.processes: list[asyncio.subprocess.Process] = []
         # An address of its own: nothing else on the machine can take the port before the relay does.
         self.address = "127." + ".".join(str(secrets.randbelow(253) + 1) for _ in range(3))
         self.port = self.free_port()
@@ -320,8 +322,12 @@
 
     async def stop(self) -> None:
         """End everything."""
-        if self.process is not None and self.process.returncode is None:
-            await self.kill()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        if self.passed is not None:
+            self.passed.close()
         for server in (self.directory, *self.hosts.values()):
             server.stop()
 
@@ -358,8 +364,12 @@
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
-        admin = {"ROUTER_ADMIN": f"{self.address}:{self.admin_port}"} if self.admin_port else {}
-        return os.environ | admin | {
+        more = {"TMPDIR": str(self.folder)}
+        if self.admin_port:
+            more["ROUTER_ADMIN"] = f"{self.address}:{self.admin_port}"
+        if self.passed is not None:
+            more["ROUTER_PASSED_SOCKET"] = str(self.passed.fileno())
+        return os.environ | more | {
             "ROUTER_CONFIG": str(path),
             "ROUTER_DISCOVERY": f"127.0.0.1:{self.directory.port}",
             "ROUTER_STATE": str(self.state),
@@ -367,13 +377,27 @@
 
     async def run(self) -> Client:
         """Start the relay's process; a client once it answers."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "mallowlug", cwd=ROOT, env=self.environment()
-        )
+        await self.spawn()
         client = await self.client()
         assert await client.command(b"PING") == b"+PONG"
         return client
 
+    async def spawn(self) -> asyncio.subprocess.Process:
+        """Start a process of the relay, beside another where there is one."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "mallowlug"),
+            cwd=ROOT,
+            env=self.environment(),
+            pass_fds=[] if self.passed is None else [self.passed.fileno()],
+        )
+        self.processes.append(self.process)
+        return self.process
+
+    def listen(self) -> None:
+        """Hold the clients' socket for the relay, as the platform may."""
+        self.passed = socket.create_server((self.address, self.port), backlog=128)
+
     async def client(self) -> Client:
         """A client's connection, as soon as the relay listens."""
 
@@ -407,6 +431,15 @@
         pairs = (line.removeprefix("app.").split(":") for line in body.splitlines())
         return {name: int(value.partition("|")[0]) for name, value in pairs}
 
+    async def counted(self, name: str, value: int) -> None:
+        """Wait until a figure has a value."""
+
+        async def seen() -> None:
+            while (await self.figures())[name] != value:
+                await asyncio.sleep(0.01)
+
+        await soon(seen())
+
     async def move(self) -> None:
         """Discovery moves to another port, the old one takes nothing new, and the relay gets SIGHUP."""
         assert self.process is not None
