--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -12,9 +12,10 @@
 import math
 import random
 from collections.abc import Iterable
+from dataclasses import replace
 
 from mossfront.interface import (
-    Action, Arrival, Ban, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
+    Action, Arrival, Ban, Cancel, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
     Refuse, Roster, RosterKind, Send, Settings, Subscribe, Verdict, Wake, Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
@@ -33,6 +34,7 @@
 LATE_SPREADS = 4.0  # spreads over the mean: a call older than this is overdue (about 1 in 50 if exponential)
 LIMIT_OVERDUES = 2.5  # time-out of a call that may be repeated, in times of the overdue age
 LAST_OVERDUES = 10.0  # time-out of one that may not, likewise; its aim at least
+ALONE_OVERDUES, ALONE_LAST_OVERDUES = 2.0, 4.0  # with slots short, the same where later calls were answered
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
@@ -89,6 +91,8 @@
         while self.due and self.due[0][0] <= now_us:
             self.look[heapq.heappop(self.due)[1]] = None
         self._expire()
+        if self.set.may_cancel and self._short():
+            self._cut_short()
         if self.calls_out < self.set.slots:  # else what is held is looked at when a slot is free
             self._dispatch()
         if now_us >= self.status_us:
@@ -223,11 +227,35 @@
         window = message.risky_us + cls.window_us - self.set.round_us
         return min(end, window) if risky and cls.effect is Effect.KEYED else end
 
+    def _short(self) -> bool:
+        """Whether slots are short."""
+        return self.calls_out >= SICK_SHARE * self.set.slots
+
+    def _cut_short(self) -> None:
+        """Give up calls that hang alone: overdue, while the endpoint has answered what was sent later.
+
+        A connection that fell quiet says nothing of the endpoint, and others wait for the slot. A call ends
+        whole, since a message is out as long as its call is.
+        """
+        for endpoint in self.endpoints.values():
+            for call in endpoint.calls:
+                age_us = self.now - call.sent_us
+                passed = call.sent_us < endpoint.answered_us and age_us > ALONE_OVERDUES * call.overdue_us
+                if call.hung or not passed:
+                    continue
+                out = [(m, n) for m in self.messages.values() for n, other in m.out.items() if other is call]
+                last = any(m.cls.effect is Effect.UNSAFE for m, _ in out)
+                call.hung = not last or age_us > ALONE_LAST_OVERDUES * call.overdue_us
+                if call.hung:
+                    self.actions += [Cancel(message.id, attempt) for message, attempt in out]
+
     def _outcome(self, event: Outcome) -> None:
         """Settle one attempt: its call, the endpoint's figures, then the message."""
         message = self.messages.get(event.id)
         if message is None or (call := message.out.pop(event.attempt, None)) is None:
             return
+        if call.hung and event.verdict is Verdict.CANCELLED:
+            event = replace(event, verdict=Verdict.TIMEOUT)  # its time-out come early
         endpoint, verdict = call.endpoint, event.verdict
         self.look[message.dest] = None
         endpoint.limit.wait_us = max(endpoint.limit.wait_us, self.now + event.wait_us * (event.wait_us > 0))
@@ -277,6 +305,7 @@
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
             self._fail(call, guard, verdict)
             return
+        endpoint.answered_us = max(endpoint.answered_us, call.sent_us)
         trials = [g for g in endpoint.guards if g.strikes]
         outage = any(g.strikes > 2 or self.trials[g.refused].share(self.now) > OUTAGE_MARK for g in trials)
         for guard in trials:
@@ -445,7 +474,7 @@
         then on: asked again for each of hundreds that are held, it took most of a relay's processor.
         """
         ready: list[tuple[float, int, Message]] = []
-        short, looked, roomy = self.calls_out >= SICK_SHARE * self.set.slots, list(self.look), set[int]()
+        short, looked, roomy = self._short(), list(self.look), set[int]()
         for number in looked:
             dest = self.dests[number]
             if dest.held and (rooms := [e for e in dest.ready() if self._room(dest, e)]):
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -70,6 +70,7 @@
         self.records: dict[str, Record] = {}
         self.quota, self.start = 0.0, 0.0  # calls in flight allowed now, and at most
         self.later = False  # whether it joined others on the list
+        self.answered_us = -1  # when the latest call was sent that was answered
         self.banned = False  # whether an operator leaves it out
         self.used_us = 0  # when a call last ended (0: no connection is left)
         self.links, self.links_us = math.inf, 0  # own calls beside which a connection was turned away; when
@@ -82,6 +83,7 @@
         self.endpoint, self.sent_us, self.overdue_us, self.idle_us = endpoint, now_us, overdue_us, idle_us
         self.beside = len(endpoint.calls)  # calls that were out there when it was sent
         self.messages, self.open = 0, 0
+        self.hung = False  # whether it was given up for hanging alone
 
 
 class Message:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -137,6 +137,60 @@
     assert not after, "unsafe calls run long, but no more of them go there"
 
 
+def hanging(cls: api.MessageClass, alone: bool, slots: int) -> tuple[Checker, int, api.Send]:
+    """A relay with a call that hangs at its first endpoint, which answers others meanwhile or does not.
+
+    Until when it was watched, and the call.
+    """
+    checker = Checker(settings(slots=slots, hold_cap=500))
+    checker.step(0, [roster(entry("h1"), entry("h2", dest=2))])
+    hung: list[api.Send] = []
+
+    def answer(now_us: int, send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        if now_us > 4 * SECOND and not hung and send.id.startswith(cls.name):
+            hung.append(send)
+        silent = send in hung or (bool(hung) and not alone and send.host == "h1")
+        return OK, 60 * SECOND if silent else 80_000
+
+    def feed(now_us: int) -> list[api.Event]:
+        lone = [arrival(f"{cls.name}-{now_us}", cls)] if now_us % 200_000 == 0 else []
+        return [*lone, *steady(100_000, KEYED, (1, 2))(now_us)]
+
+    drive(checker, 4 * SECOND + 900_000, feed, answer)
+    return checker, checker.now_us, hung[0]
+
+
+def cut(checker: Checker, call: api.Send) -> bool:
+    """Whether the call was called off."""
+    return any(isinstance(action, api.Cancel) and action.id == call.id for action in checker.trace)
+
+
+def test_a_call_that_hangs_alone_leaves_a_short_slot_and_goes_again() -> None:
+    """Its connection fell quiet: the endpoint answers others, which wait for the slot."""
+    checker, now_us, call = hanging(SAFE, alone=True, slots=3)
+    assert cut(checker, call)
+    told = [ended(call, api.Verdict.CANCELLED)]
+    again = sends(checker.step(now_us + 20_000, told) + checker.step(now_us + 400_000, [api.TimerDue()]))
+    assert call.id in [send.id for send in again]
+    assert checker.relay.endpoints["h1"].ratio.share(now_us) > 0, "counted as the time-out that it is"
+
+
+def test_a_call_that_may_not_be_repeated_hangs_longer_alone() -> None:
+    checker, _, call = hanging(UNSAFE, alone=True, slots=3)
+    assert not cut(checker, call)
+
+
+def test_calls_that_hang_together_are_left_to_their_time_outs() -> None:
+    """An endpoint that answers nobody is slow or in an outage: calls there may still be answered."""
+    checker, _, call = hanging(SAFE, alone=False, slots=3)
+    assert not cut(checker, call)
+
+
+def test_a_call_that_hangs_alone_is_left_while_slots_are_not_short() -> None:
+    checker, _, call = hanging(SAFE, alone=True, slots=20)
+    assert not cut(checker, call)
+
+
 def test_a_connection_limit_beside_successes_is_no_outage() -> None:
     checker = Checker(settings(hold_cap=500))
     checker.step(0, [roster(entry("h1"))])
