Hand over idle connections only within half of the descriptors

For a moment both processes hold what goes over, and the limit on descriptors sees one relay. Tests of the hosts' side of a handover: calls not written, limits that go on, and this bound.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -26,6 +26,7 @@
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
 TURNS = 5  # of the loop, in which connections that are accepted come up and what they brought is answered
+SPARE = 16  # descriptors of a process beside those of clients, calls and idle connections
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
@@ -91,8 +92,8 @@
 
     def _estate(self, same: bool) -> Estate:
         """All that the next process takes over: the admin's socket, the clients' and those of what is out."""
-        heard, memory, out = self.driver.leave()
         clients, fds = self.server.leave()
+        heard, memory, out = self.driver.leave(self._cfg.sockets // 2 - len(fds) - SPARE)
         own = [listener.sock.fileno() for listener in self.admin.listeners[:1]]
         counts = self.driver.figures.counts
         told = {
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -277,8 +277,11 @@
                 part.timer = loop.call_at(since_s + part.limit_us / 1e6, self._late, call, part)
         call.task = loop.create_task(self._run(call, exchange))
 
-    def leave(self) -> tuple[Left, list[int]]:
-        """What another process takes over, and the descriptors of its calls and then of its connections."""
+    def leave(self, room: int) -> tuple[Left, list[int]]:
+        """What another process takes over, and the descriptors of its calls and then of its connections.
+
+        Idle connections go over only within ``room`` descriptors: for a moment both processes hold them.
+        """
         calls, fds = list[tuple[Call, bytes | None]](), list[int]()
         for call in self.calls:
             if not call.open:  # only the rest of its answer is out
@@ -292,6 +295,7 @@
                 fds.append(call.connection.sock.fileno())
             calls.append((copy, came))
         idle = [(host, connection) for host, items in self._idle.items() for connection, _ in items]
+        idle = idle[: max(0, room - len(fds))]
         fds += [connection.sock.fileno() for _, connection in idle]
         return Left(self._listed, calls, [(host, connection.kept_s) for host, connection in idle]), fds
 
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -171,9 +171,9 @@
         self._step()
         self._report()
 
-    def leave(self) -> tuple[Heard, Memory, list[int]]:
+    def leave(self, room: int) -> tuple[Heard, Memory, list[int]]:
         """What the next process takes over, and the descriptors of what is out; for this moment alone."""
-        left, fds = self._hosts.leave()
+        left, fds = self._hosts.leave(room)
         memory = Memory(self.clock.offset_us, self._module, self._inbox, self._watch.seq, left)
         return Heard(list(self._over), self._hosts.waits, list(self._hosts.ever)), memory, fds
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import pickle
 import socket
 import struct
 import time
@@ -12,7 +14,7 @@
 import pytest
 
 from mallowlug.discovery import HostList, Listed
-from mallowlug.hosts import Call, Hosts, Part, Told, report_of, verdict_of, wait_of
+from mallowlug.hosts import Call, Hosts, Left, Part, Told, report_of, verdict_of, wait_of
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
 from tests.world import HttpServer, Request, delivered, silent, soon
@@ -293,6 +295,58 @@
     host.stop()
 
 
+def passed_on(giver: Calls, room: int) -> tuple[Calls, Left]:
+    """Another process's hosts with what was left, over the same bytes and copies of the descriptors."""
+    left, fds = giver.hosts.leave(room)
+    left = pickle.loads(pickle.dumps(left))
+    taker = Calls(1)
+    taker.hosts.take(left, iter([socket.socket(fileno=os.dup(fd)) for fd in fds]))
+    return taker, left
+
+
+async def test_a_call_that_was_not_written_never_ran_for_the_process_that_takes_it() -> None:
+    """The connection comes up in nobody's hands; to call it lost would fail what may not be repeated."""
+    giver = Calls(1)
+    giver.send("m1")
+    taker, _ = passed_on(giver, 100)
+    assert (await taker.outcome("m1")).verdict is Verdict.NOT_SENT
+    assert not taker.hosts.calls
+    giver.hosts.close()
+
+
+async def test_a_limit_goes_on_from_when_the_call_was_sent() -> None:
+    host = await serving(silent)
+    giver = Calls(host.port)
+    call = giver.send("m1", limit_us=60_000_000)
+    await host.call(0)
+    call.sent_s -= 59.9  # as if it had been out so long
+    taker, _ = passed_on(giver, 100)
+    assert (await taker.outcome("m1")).verdict is Verdict.TIMEOUT
+    giver.hosts.close()
+    host.stop()
+
+
+async def test_idle_connections_go_over_as_far_as_there_is_room() -> None:
+    host = await serving(silent)
+    giver = Calls(host.port)
+    giver.send("m1")
+    giver.send("m2")
+    for number in range(2):
+        (await host.call(number)).answer()
+    for ref in ("m1", "m2"):
+        await giver.outcome(ref)
+    taker, left = passed_on(giver, 1)
+    assert len(left.idle) == 1
+    giver.hosts.close()
+    taker.list(host.port)
+    taker.send("m3")
+    call = await host.call(2)
+    assert host.connections == 2, "the one that went over serves"
+    call.answer()
+    assert (await taker.outcome("m3")).verdict is Verdict.OK
+    host.stop()
+
+
 async def test_a_new_connection_that_is_turned_away_is_told_apart_from_a_full_limit() -> None:
     """Told as a limit, it slowed the pace of a destination that had room."""
     def turned_away(request: Request) -> None:
