Give a test's ports out once each, and wait for the list before demand is counted

Two of some 400 test runs under a load of twelve busy processes failed: an operators' port was the clients' one, and a message came before the list, so that the module saw no demand there and closed the connection as rarely used.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -58,6 +58,7 @@
     """Its answer reaches the new process on the same connection, and nothing is sent twice."""
     host = await held.add("h1", silent)
     client = await held.run()
+    await held.counted("endpoints_known", 1)  # else no demand is seen there, and its connection is not kept
     await client.hand_in("m1", cls)
     call = await host.call(0)
     await upgraded(held)
--- a/tests/world.py
+++ b/tests/world.py
@@ -307,13 +307,18 @@
         self.processes: list[asyncio.subprocess.Process] = []
         # An address of its own: nothing else on the machine can take the port before the relay does.
         self.address = "127." + ".".join(str(secrets.randbelow(253) + 1) for _ in range(3))
+        self.ports: set[int] = set()  # those given out
         self.port = self.free_port()
 
     def free_port(self) -> int:
-        """A port at the relay's address that nothing listens on."""
-        with socket.socket() as sock:
-            sock.bind((self.address, 0))
-            return int(sock.getsockname()[1])
+        """A port at the relay's address that nothing listens on, another each time."""
+        while True:
+            with socket.socket() as sock:
+                sock.bind((self.address, 0))
+                port = int(sock.getsockname()[1])
+            if port not in self.ports:
+                self.ports.add(port)
+                return port
 
     async def start(self) -> None:
         """Start the directory; the relay is started by the test."""
