--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -342,9 +342,9 @@
         elapsed_us = int((time.monotonic() - call.sent_s) * 1e6)
         if told.verdict is not api.Verdict.OK:
             LOG.info(
-                "attempt: %s #%d at %s with %d more, connection %s: %s after %d ms, wait %d ms",
+                "attempt: %s #%d at %s with %d more, connection %s: %s after %d ms, wait %d ms, told %s",
                 part.id, part.attempt, call.host, len(call.parts) - 1, call.connection_was,
-                told.verdict.value, elapsed_us // 1000, told.wait_us // 1000,
+                told.verdict.value, elapsed_us // 1000, told.wait_us // 1000, told.report or "nothing",
             )  # fmt: skip
         self._post(
             api.Outcome(
