Let each relay of a group add only its part of what is left of a limit

Destination 2 (15 calls/s): 23 served and 5 refused in the first 2 s, 0 and 35 in the next, 0 and 32 from 10 s. Refused calls use the limit up, so a few calls too many keep it empty until nearly all relays pause. Cause: _told opened the pace to the whole limit with any success that tells of half of it left, and lowered it only where almost nothing was left. Harmless alone; 40 relays read the same news and all take the same rest. Now each adds its part of it, slows a little while less than half is left, and halves its pace when refused. A relay alone has the whole limit with the next success, as before.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -27,6 +27,7 @@
 HIGH_MARK, LOW_MARK = 0.3, 0.1  # failure ratio: above, the quota steps down; below, it steps up
 STEP_DOWN, STEP_UP = 0.7, 0.1  # quota factor for a step down; share of the start for a step up
 OUTAGE_MARK = 0.5  # failure ratio above which an endpoint that does not only refuse is in an outage
+SECOND_US = 1_000_000  # us: news of a limit counts for no longer
 GAP_US = 2_000_000  # us with failures and no success after which a return is taken for a cold one
 RETRY_US, RETRY_MAX_US = 200_000, 3_000_000  # us between trials where this relay's part is large
 CROWD_US = 1_000_000  # us until one connection more is tried where one was turned away
@@ -37,6 +38,8 @@
 ALONE_OVERDUES, ALONE_LAST_OVERDUES = 2.0, 4.0  # with slots short, the same where later calls were answered
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
+TOLD_DOWN, LEAST_PART = 0.5, 0.25  # the same where what is left is told; the least pace then, in equal parts
+PACE_STEP = 0.3  # pace of a second in which all or nothing is left: up, in equal parts; down, as a share
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
 RISKS = {effect: float(number) for number, effect in enumerate(Effect)}  # the less a repeat does, the sooner
@@ -183,11 +186,27 @@
         if rate and 0 < rate < math.inf:
             if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
                 limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
+            else:
+                limit.pace *= rate / limit.rate
             limit.rate = rate
-            pace = self._pace(limit)
-            if left is not None and 0 <= left <= 1:  # fresh news only: a slowed pace grows again by itself
-                told = max(rate / self.set.group_size, min(1.0, ROOM * left) * rate)
-                limit.pace = told if told < pace or not limit.strikes else pace
+            if left is not None and 0 <= left <= 1:
+                self._pace_by(limit, left)
+
+    def _pace_by(self, limit: Guard, left: float) -> None:
+        """Speed up by this relay's part of what is left of a limit, and slow down where that is little.
+
+        All relays read the same news, and calls that are refused use the limit up too. So the sum of what
+        they add stays below what is left: one alone takes that at once, one of many grows into it.
+        """
+        equal, bound = limit.rate / self.set.group_size, min(1.0, ROOM * left) * limit.rate
+        since_us = min(SECOND_US, self.now - limit.told_us) if limit.told_us >= 0 else 0
+        step = PACE_STEP * since_us / SECOND_US
+        pace = self._pace(limit) + step * left * equal
+        if ROOM * left < 1:
+            pace = min(pace, ROOM * self._own(limit)) * (1 - step * (1 - ROOM * left))
+        if not limit.strikes:
+            pace = max(pace, bound / self.set.group_size)
+        limit.pace, limit.told_us = min(pace, max(equal, bound)), self.now
 
     def _arrive(self, event: Arrival) -> None:
         if (cls := self.classes.get(event.cls)) is None or event.id in self.messages:
@@ -318,7 +337,8 @@
             if self.now - guard.cold_us > self.set.warm_within_us:
                 guard.cold_us = -1
         endpoint.limit.served.add(False, self.now)
-        endpoint.limit.pace = self._pace(endpoint.limit) * PACE_UP
+        if endpoint.limit.told_us < 0:
+            endpoint.limit.pace = self._pace(endpoint.limit) * PACE_UP
 
     def _cut(self, call: Call, lost: bool) -> bool:
         """Whether idleness may have cut the call's connection: none that was idle as long served lately.
@@ -365,8 +385,10 @@
             guard.strikes, guard.strike_us, guard.refused = guard.strikes + 1, self.now, refused
             if refused:  # a told rate may hold no more, or others use it up: fall to half of what is served
                 part = self._part(endpoint, guard)
-                pace = PACE_DOWN * min(self._pace(guard), part)
-                guard.pace = max(pace, 0.5 * guard.served.rate(self.now, self.begun_us), 1e6 / RETRY_MAX_US)
+                told = guard.told_us >= 0
+                pace = (TOLD_DOWN if told else PACE_DOWN) * min(self._pace(guard), part)
+                least = LEAST_PART * guard.rate / self.set.group_size if told else 1e6 / RETRY_MAX_US
+                guard.pace = max(pace, 0.5 * guard.served.rate(self.now, self.begun_us), least)
             if guard.strikes == 3:
                 self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
         # While most trials fail, this is an outage, and the group's trials together have to fit what a cold
@@ -388,16 +410,21 @@
         return endpoint.links + (self.now - endpoint.links_us) / CROWD_US
 
     def _pace(self, limit: Guard) -> float:
-        """This relay's pace at a limit; it grows with time, and faster with successes."""
-        grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / MEMORY_US))
+        """This relay's pace at a limit; where what is left is not told, it grows with time and successes."""
+        grown = limit.pace
+        if limit.told_us < 0:
+            grown *= math.exp(min(50.0, (self.now - limit.pace_us) / MEMORY_US))
         limit.pace, limit.pace_us = min(grown, limit.rate or math.inf), self.now
         return limit.pace
 
     def _part(self, endpoint: Endpoint, guard: Guard) -> float:
-        """This relay's part of the calls a second there: an equal one, or by its own demand."""
+        """This relay's part of the calls a second there, of all endpoints or of one."""
         limit = endpoint.limit
-        part = max(limit.rate / self.set.group_size, limit.demand.rate(self.now, self.begun_us), 1e-3)
-        return part / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
+        return self._own(limit) / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
+
+    def _own(self, limit: Guard) -> float:
+        """This relay's part of the calls a second within a limit: an equal one, or by its own demand."""
+        return max(limit.rate / self.set.group_size, limit.demand.rate(self.now, self.begun_us), 1e-3)
 
     def _space(self, endpoint: Endpoint, guard: Guard, part: float = 1.0) -> None:
         """A cold server gets this relay's part of what it bears, spread over its time to warm."""
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -54,6 +54,37 @@
     assert pace(7.0) == pace(-1.0) == pace(None), "a share out of range counts as not told"
 
 
+def paces(size: int, *told: tuple[api.Verdict, float]) -> list[float]:
+    """A relay's pace at a limit of 20 a second after each of these answers, one every ten seconds."""
+    relay = Relay(settings(group_size=size, may_cancel=False), seed=1)
+    relay.step(0, [roster(entry("h1"))])
+    found = []
+    for number, (verdict, left) in enumerate(told):
+        now_us = (1 + number) * 10 * SECOND
+        [send] = sends(relay.step(now_us, [arrival(f"m{number}")]))
+        ok = verdict is api.Verdict.OK
+        outcome = api.Outcome(send.id, 0, send.host, verdict, 1000, ok, 0, left, 20.0)
+        relay.step(now_us + 1000, [outcome, api.Withdrawn(send.id)])
+        found.append(relay.endpoints["h1"].limit.pace)
+    return found
+
+
+def test_after_a_refusal_each_of_many_takes_only_its_part_of_what_is_left() -> None:
+    """join+vast: one success after a refusal gave each of 40 relays the whole limit again."""
+    answers = (api.Verdict.OK, 0.9), (api.Verdict.FULL, 0.0), (api.Verdict.OK, 0.9), (api.Verdict.OK, 0.9)
+    _, refused, *later = paces(40, *answers)
+    assert refused < 20.0 / 40 * 1.5
+    assert all(refused <= pace <= refused + 2 * 20.0 / 40 for pace in later)
+    assert later[1] > later[0], "it grows into what is left"
+    assert paces(1, *answers)[3] == 20.0, "a relay alone has it whole with the next success"
+
+
+def test_little_left_slows_each_of_many_before_any_is_refused() -> None:
+    """join+vast: a limit of which little is left was overrun, and refusals then used up all of it."""
+    start, *later = paces(40, (api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.2)] * 3)
+    assert start > later[0] > later[1] > later[2] > 0.0
+
+
 def test_a_class_that_fails_at_one_endpoint_goes_to_its_sibling() -> None:
     checker = Checker(settings(hold_cap=500))
     checker.step(0, [roster(entry("h1"), entry("h2"))])
