Do not take refusals above a used-up limit for an outage

Cause: a relay of 40 calls most partners less than once in two seconds. _fail took each second refusal in a row for one beside which nothing succeeds, and _learn the next success for a cold return, which then gave that partner's calls 13 s of a cold server's pace. Now a refusal that tells of a limit with less than half left counts as one strike at most, shows nothing of an outage, and pauses by the pace alone.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -322,7 +322,7 @@
             endpoint.records[name].bad.add(failed, self.now)
         if failed:
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
-            self._fail(call, guard, verdict)
+            self._fail(call, guard, event)
             return
         endpoint.answered_us = max(endpoint.answered_us, call.sent_us)
         trials = [g for g in endpoint.guards if g.strikes]
@@ -368,9 +368,13 @@
         shares = [share.share(self.now) for share in self.trials]
         return any(g.strikes > 1 or (g.strikes and shares[g.refused] > OUTAGE_MARK) for g in endpoint.guards)
 
-    def _fail(self, call: Call, guard: Guard, verdict: Verdict) -> None:
-        """A strike, and a pause before the next trial that grows with the outage's age."""
-        endpoint, sent_us = call.endpoint, call.sent_us
+    def _fail(self, call: Call, guard: Guard, event: Outcome) -> None:
+        """A strike, and a pause before the next trial that grows with the outage's age.
+
+        A refusal that tells of a limit with little left is no sign of an outage, however often it comes: a
+        relay of many has few successes between them. It slows the pace, and counts as one strike at most.
+        """
+        endpoint, sent_us, verdict = call.endpoint, call.sent_us, event.verdict
         refused, beside = verdict is Verdict.FULL, self.now - guard.ok_us < GAP_US
         if beside and verdict is Verdict.CONNECT_FAILED:  # a connection limit: fewer calls at once, no strike
             endpoint.links, endpoint.links_us = min(self._links(endpoint), max(1, call.beside)), self.now
@@ -379,10 +383,12 @@
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
             guard.cold_us = self.now
-        if guard.strikes and sent_us > guard.strike_us:
+        used_up = refused and bool(event.limit_per_s) and ROOM * (event.limit_left or 0.0) < 1
+        if guard.strikes and sent_us > guard.strike_us and not used_up:
             self.trials[refused].add(True, self.now)
         if sent_us > guard.strike_us or not guard.strikes:
-            guard.strikes, guard.strike_us, guard.refused = guard.strikes + 1, self.now, refused
+            strikes = max(1, guard.strikes) if used_up else guard.strikes + 1
+            guard.strikes, guard.strike_us, guard.refused = strikes, self.now, refused
             if refused:  # a told rate may hold no more, or others use it up: fall to half of what is served
                 part = self._part(endpoint, guard)
                 told = guard.told_us >= 0
@@ -400,7 +406,9 @@
             bears = self.set.fall_multiple * self.set.cold_from * self._part(endpoint, guard)
             gap_us = max(gap_us, 1e6 / bears)
         start_us = max(self.now, guard.wait_us)
-        if sore or guard.strikes > 1 or not beside:
+        if used_up:
+            guard.next_us = max(guard.next_us, start_us + int(1e6 / guard.pace * self.rng.uniform(0.3, 1.3)))
+        elif sore or guard.strikes > 1 or not beside:
             guard.next_us = max(guard.next_us, start_us + int(gap_us * self.rng.uniform(0.3, 1.3)))
         else:  # all that were told to wait would come back at once
             guard.next_us = max(guard.next_us, start_us + int((start_us - self.now) * self.rng.random()))
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -79,6 +79,20 @@
     assert paces(1, *answers)[3] == 20.0, "a relay alone has it whole with the next success"
 
 
+@pytest.mark.parametrize(("left", "cold"), [(0.0, False), (0.9, True)])
+def test_refusals_above_a_limit_are_no_outage(left: float, cold: bool) -> None:
+    """join+vast: a relay that meets a destination seldom took three refusals in a row for an outage."""
+    relay = Relay(settings(group_size=40), seed=1)
+    relay.step(0, [roster(entry("h1"))])
+    verdicts = [api.Verdict.OK] + [api.Verdict.FULL] * 4 + [api.Verdict.OK]
+    for number, verdict in enumerate(verdicts):
+        now_us = (1 + number) * 20 * SECOND
+        [send] = sends(relay.step(now_us, [arrival(f"m{number}")]))
+        outcome = api.Outcome(send.id, 0, send.host, verdict, 1000, verdict is api.Verdict.OK, 0, left, 20.0)
+        relay.step(now_us + 1000, [outcome, api.Withdrawn(send.id)])
+    assert (relay.endpoints["h1"].limit.cold_us >= 0) is cold
+
+
 def test_little_left_slows_each_of_many_before_any_is_refused() -> None:
     """join+vast: a limit of which little is left was overrun, and refusals then used up all of it."""
     start, *later = paces(40, (api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.2)] * 3)
