Take a connection that is turned away for a sign of life, and ask again less and less

Cause: _fail knew a connection limit only by a success within the last 2 s, which a relay of 40 seldom has; without one it counted strikes. With one it asked again every 200 ms, however often it was turned away, and each of these connections costs the endpoint a handshake. The answer (503 on a new connection, then its end) proves life; the network code now says so, and pauses grow, with jitter, until a call is answered. Ruled out: endpoints that are down: those refuse the connection in the system, which the log shows apart.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -57,6 +57,7 @@
     complete: bool = False
     wait_us: int = 0
     report: dict[str, float] = field(default_factory=dict)
+    turned_away: bool = False  # the host answered that it holds no more connections
 
 
 @dataclass(slots=True, eq=False)
@@ -430,7 +431,9 @@
             self._settle_batch(call, parts, await connection.body(MOST_ANSWER), wait_us, report)
         else:
             complete = answer.status_code in (DELIVERED, OVER)
-            told = Told(verdict_of(answer, call.idle_ms is None), complete, wait_us, report)
+            verdict = verdict_of(answer, call.idle_ms is None)
+            turned_away = verdict is Verdict.CONNECT_FAILED
+            told = Told(verdict, complete, wait_us, report, turned_away)
             # What is told may send the next message there at once: it should find this connection.
             try:
                 whole = connection.whole()
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -357,6 +357,7 @@
                 told.wait_us,
                 told.report.get("x0"),
                 told.report.get("x1"),
+                told.turned_away,
             )
         )
         if complete:  # also for a part whose own time ran out before: the module must not send it again
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -324,7 +324,7 @@
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
             self._fail(call, guard, event)
             return
-        endpoint.answered_us = max(endpoint.answered_us, call.sent_us)
+        endpoint.answered_us, endpoint.turned = max(endpoint.answered_us, call.sent_us), 0
         trials = [g for g in endpoint.guards if g.strikes]
         outage = any(g.strikes > 2 or self.trials[g.refused].share(self.now) > OUTAGE_MARK for g in trials)
         for guard in trials:
@@ -376,10 +376,13 @@
         """
         endpoint, sent_us, verdict = call.endpoint, call.sent_us, event.verdict
         refused, beside = verdict is Verdict.FULL, self.now - guard.ok_us < GAP_US
-        if beside and verdict is Verdict.CONNECT_FAILED:  # a connection limit: fewer calls at once, no strike
+        if event.turned_away or (beside and verdict is Verdict.CONNECT_FAILED):
+            # A connection limit, by the endpoint's word or by what else serves there: fewer calls, no strike.
             endpoint.links, endpoint.links_us = min(self._links(endpoint), max(1, call.beside)), self.now
             if guard.ok_us < sent_us:  # nothing shows yet that other connections serve meanwhile
-                guard.next_us = max(guard.next_us, self.now + RETRY_US)
+                gap_us = min(RETRY_US * 2.0 ** min(endpoint.turned, 10), RETRY_MAX_US)
+                guard.next_us = max(guard.next_us, self.now + int(gap_us * self.rng.uniform(0.5, 1.5)))
+                endpoint.turned += 1
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
             guard.cold_us = self.now
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -202,6 +202,7 @@
     wait_us: int = 0
     limit_left: float | None = None
     limit_per_s: float | None = None
+    turned_away: bool = False  # a connection that it answered that it has no room for: the endpoint lives
 
 
 @dataclass(frozen=True, slots=True)
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -74,6 +74,7 @@
         self.answered_us = -1  # when the latest call was sent that was answered
         self.banned = False  # whether an operator leaves it out
         self.used_us = 0  # when a call last ended (0: no connection is left)
+        self.turned = 0  # connections turned away since one served
         self.links, self.links_us = math.inf, 0  # own calls beside which a connection was turned away; when
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -93,6 +93,27 @@
     assert (relay.endpoints["h1"].limit.cold_us >= 0) is cold
 
 
+def turned_away(told: bool, count: int) -> Relay:
+    """A relay that had so many connections turned away in a row, long after the last that served."""
+    relay = Relay(settings(group_size=40), seed=1)
+    relay.step(0, [roster(entry("h1"))])
+    for number in range(count):
+        now_us = (1 + number) * 60 * SECOND
+        [send] = sends(relay.step(now_us, [arrival(f"m{number}")]))
+        outcome = api.Outcome(send.id, 0, send.host, DOWN, 40_000, turned_away=told)
+        relay.step(now_us + 40_000, [outcome, api.Withdrawn(send.id)])
+    return relay
+
+
+def test_connections_turned_away_are_no_outage_but_are_asked_for_less_and_less() -> None:
+    """join+vast: an endpoint out of connections was taken for one that is down by relays that call seldom."""
+    assert turned_away(False, 3).endpoints["h1"].own.strikes == 3
+    relays = [turned_away(True, count) for count in (1, 5)]
+    assert all(relay.endpoints["h1"].own.strikes == 0 for relay in relays)
+    first_us, fifth_us = (relay.endpoints["h1"].own.next_us - relay.now for relay in relays)
+    assert 0 < first_us < 400_000 < fifth_us < 6 * SECOND
+
+
 def test_little_left_slows_each_of_many_before_any_is_refused() -> None:
     """join+vast: a limit of which little is left was overrun, and refusals then used up all of it."""
     start, *later = paces(40, (api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.2)] * 3)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -355,7 +355,7 @@
     host = await serving(turned_away)
     calls = Calls(host.port)
     calls.send("m1")
-    assert await calls.outcome("m1") == Told(Verdict.CONNECT_FAILED)
+    assert await calls.outcome("m1") == Told(Verdict.CONNECT_FAILED, turned_away=True)
     host.default = delivered
     calls.send("m2")
     await calls.outcome("m2")
