Close idle connections by rarer signs of a full table in a larger group

Cause: a relay closed idle connections only when a tenth of its own calls, to partners of all kinds together, had found no connection. Who holds a connection gets no such sign. Now it is counted by kind of partner, and the share that counts falls with the size of the group; a relay alone closes as before.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -62,7 +62,7 @@
         self.quotas, self.arrivals = sum(t.quota_per_s for t in settings.tenants), Tally(MEMORY_US)
         # The idle age that is trusted; the oldest from which a connection lately served, and when.
         self.stale_us, self.sound_us, self.sound_at_us = float(settings.keepalive_us), 0.0, 0
-        self.crowd = Tally(MEMORY_US)  # calls that found no connection
+        self.crowds: dict[str, Tally] = {}  # by kind of destination: calls that found no connection
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
         self.begun_us = -1  # when this life's first step was
@@ -287,9 +287,11 @@
             if verdict not in (Verdict.CANCELLED, Verdict.NOT_SENT):
                 self._learn(call, message, event)
             # Many relays' idle connections fill a small table: close one that will hardly serve again.
-            self.crowd.add(verdict is Verdict.CONNECT_FAILED, self.now)
+            # Who holds one is seldom turned away: the more relays, the rarer the sign that each of them gets.
+            crowd = self.crowds.setdefault(endpoint.kind.name, Tally(MEMORY_US))
+            crowd.add(verdict is Verdict.CONNECT_FAILED, self.now)
             rare = self._part(endpoint, endpoint.own) * self.set.keepalive_us < 1e6
-            if not endpoint.calls and (rare or self.crowd.share(self.now) > LOW_MARK):
+            if not endpoint.calls and (rare or crowd.share(self.now) > LOW_MARK / self.set.group_size):
                 self.actions.append(CloseIdle(endpoint.host))
                 endpoint.used_us = 0
         if not verdict.never_ran and verdict is not Verdict.OK:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -114,6 +114,28 @@
     assert 0 < first_us < 400_000 < fifth_us < 6 * SECOND
 
 
+def closes_idle(size: int, kind: str) -> bool:
+    """Whether a relay closes its connection to "h1", after one call of 20 elsewhere was turned away."""
+    relay = Relay(settings(group_size=size, rates_told=True, keepalive_us=5 * SECOND), seed=1)
+    others = entry("h2", dest=2, kind=kind, rate=1000.0)
+    relay.step(0, [roster(entry("h1", rate=1000.0), others)])
+    closed = False
+    for number in range(21):
+        at_us, dest = (1 + number) * 300_000, 1 if number == 20 else 2
+        verdict = DOWN if number == 10 else api.Verdict.OK
+        [send] = sends(relay.step(at_us, [arrival(f"m{number}", dest=dest)]))
+        told = api.Outcome(send.id, 0, send.host, verdict, 1000, True, turned_away=verdict is DOWN)
+        closed = api.CloseIdle("h1") in relay.step(at_us + 1000, [told])
+    return closed
+
+
+def test_many_relays_close_idle_connections_to_a_kind_that_turned_one_away() -> None:
+    """join+vast: those who held connections were not turned away and kept them, and others found no room."""
+    assert closes_idle(40, "plain")
+    assert not closes_idle(1, "plain"), "a relay alone meets its own connections only"
+    assert not closes_idle(40, "split"), "another kind's tables say nothing of this one's"
+
+
 def test_little_left_slows_each_of_many_before_any_is_refused() -> None:
     """join+vast: a limit of which little is left was overrun, and refusals then used up all of it."""
     start, *later = paces(40, (api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.2)] * 3)
