After a refusal near the refused pace soon and pass it slowly, and lower a lowered limit's use

When a limit halves, 65 to 83 calls in 2 s meet one that bears 60, and none of them is served. Cause: the pace grew evenly up to the next refusal (_pace_by, _pace), from parts so small that a relay that calls once in four seconds took 20 s to recover; and a lowered limit halved paces that lay ten times above their use. Now a refused pace is remembered: 0.85 of it is taken up within some seconds, also without calls, the rest grows slowly; and a limit that is lowered starts from what is used.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -38,8 +38,11 @@
 ALONE_OVERDUES, ALONE_LAST_OVERDUES = 2.0, 4.0  # with slots short, the same where later calls were answered
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
-TOLD_DOWN, LEAST_PART = 0.5, 0.25  # the same where what is left is told; the least pace then, in equal parts
-PACE_STEP = 0.3  # pace of a second in which all or nothing is left: up, in equal parts; down, as a share
+TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
+EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
+KNEE = 0.85  # share of a refused pace that is soon taken up again
+RECOVER_US, KNEE_US = 4_000_000, 30_000_000  # us for e-fold growth up to there, and above
+LOWERED = 0.75  # a told rate under so much of the last one is a lowered limit, and no noise
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
 RISKS = {effect: float(number) for number, effect in enumerate(Effect)}  # the less a repeat does, the sooner
@@ -187,27 +190,41 @@
             if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
                 limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
             else:
-                limit.pace *= rate / limit.rate
+                if rate < LOWERED * limit.rate:  # the pace may lie far above what it was used for
+                    limit.pace = min(limit.pace, self._own(limit))
+                limit.pace, limit.knee = limit.pace * rate / limit.rate, limit.knee * rate / limit.rate
             limit.rate = rate
             if left is not None and 0 <= left <= 1:
                 self._pace_by(limit, left)
 
     def _pace_by(self, limit: Guard, left: float) -> None:
-        """Speed up by this relay's part of what is left of a limit, and slow down where that is little.
+        """Ease off where little is left of a limit, and take it whole only as this relay's part of the group.
 
-        All relays read the same news, and calls that are refused use the limit up too. So the sum of what
-        they add stays below what is left: one alone takes that at once, one of many grows into it.
+        All relays read the same news, and calls that are refused use the limit up too. So no more than an
+        equal part comes back at once, which is all of it for one alone; the rest grows with time.
         """
         equal, bound = limit.rate / self.set.group_size, min(1.0, ROOM * left) * limit.rate
         since_us = min(SECOND_US, self.now - limit.told_us) if limit.told_us >= 0 else 0
-        step = PACE_STEP * since_us / SECOND_US
-        pace = self._pace(limit) + step * left * equal
-        if ROOM * left < 1:
-            pace = min(pace, ROOM * self._own(limit)) * (1 - step * (1 - ROOM * left))
+        pace = self._pace(limit)
+        if left < EASE:
+            ease = EASE_DOWN * (1 - left / EASE) * since_us / SECOND_US
+            pace = min(pace, ROOM * self._own(limit)) * (1 - ease)
         if not limit.strikes:
             pace = max(pace, bound / self.set.group_size)
         limit.pace, limit.told_us = min(pace, max(equal, bound)), self.now
 
+    def _lower(self, limit: Guard) -> None:
+        """Refused above a limit: fall under the pace that was too much, and remember that one.
+
+        A told rate may hold no more, or others use it up. Half of what is served is kept in any case.
+        """
+        told, knee = limit.told_us >= 0, min(self._pace(limit), self._own(limit))
+        least = LEAST_PART * limit.rate / self.set.group_size if told else 1e6 / RETRY_MAX_US
+        served = 0.5 * limit.served.rate(self.now, self.begun_us)
+        limit.pace = max((TOLD_DOWN if told else PACE_DOWN) * knee, served, least)
+        limit.knee = knee if limit.knee == math.inf else (knee + limit.knee) / 2
+        limit.knee_us = self.now
+
     def _arrive(self, event: Arrival) -> None:
         if (cls := self.classes.get(event.cls)) is None or event.id in self.messages:
             return
@@ -382,9 +399,11 @@
             # A connection limit, by the endpoint's word or by what else serves there: fewer calls, no strike.
             endpoint.links, endpoint.links_us = min(self._links(endpoint), max(1, call.beside)), self.now
             if guard.ok_us < sent_us:  # nothing shows yet that other connections serve meanwhile
-                gap_us = min(RETRY_US * 2.0 ** min(endpoint.turned, 10), RETRY_MAX_US)
-                guard.next_us = max(guard.next_us, self.now + int(gap_us * self.rng.uniform(0.5, 1.5)))
-                endpoint.turned += 1
+                pause_us = RETRY_US
+                if event.turned_away:
+                    usual_us = min(RETRY_US * 2.0 ** min(endpoint.turned, 10), RETRY_MAX_US)
+                    pause_us, endpoint.turned = int(usual_us * self.rng.uniform(0.5, 1.5)), endpoint.turned + 1
+                guard.next_us = max(guard.next_us, self.now + pause_us)
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
             guard.cold_us = self.now
@@ -394,12 +413,8 @@
         if sent_us > guard.strike_us or not guard.strikes:
             strikes = max(1, guard.strikes) if used_up else guard.strikes + 1
             guard.strikes, guard.strike_us, guard.refused = strikes, self.now, refused
-            if refused:  # a told rate may hold no more, or others use it up: fall to half of what is served
-                part = self._part(endpoint, guard)
-                told = guard.told_us >= 0
-                pace = (TOLD_DOWN if told else PACE_DOWN) * min(self._pace(guard), part)
-                least = LEAST_PART * guard.rate / self.set.group_size if told else 1e6 / RETRY_MAX_US
-                guard.pace = max(pace, 0.5 * guard.served.rate(self.now, self.begun_us), least)
+            if refused:
+                self._lower(guard)
             if guard.strikes == 3:
                 self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
         # While most trials fail, this is an outage, and the group's trials together have to fit what a cold
@@ -423,10 +438,13 @@
         return endpoint.links + (self.now - endpoint.links_us) / CROWD_US
 
     def _pace(self, limit: Guard) -> float:
-        """This relay's pace at a limit; where what is left is not told, it grows with time and successes."""
-        grown = limit.pace
-        if limit.told_us < 0:
-            grown *= math.exp(min(50.0, (self.now - limit.pace_us) / MEMORY_US))
+        """This relay's pace at a limit; it grows with time, and slowly near a pace that was refused."""
+        told = limit.told_us >= 0
+        e_fold_us = RECOVER_US if told else MEMORY_US
+        grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / e_fold_us))
+        if told and limit.knee < math.inf:
+            knee = KNEE * limit.knee * math.exp(min(50.0, (self.now - limit.knee_us) / KNEE_US))
+            grown = min(grown, max(limit.pace, knee))
         limit.pace, limit.pace_us = min(grown, limit.rate or math.inf), self.now
         return limit.pace
 
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -55,6 +55,7 @@
         self.ok_us, self.cold_us = -(1 << 60), -1  # last success; when a cold return began (-1: warm)
         self.wait_us, self.next_us = 0, 0  # told to wait until; own pause until
         self.rate, self.pace, self.pace_us = 0.0, math.inf, 0  # calls/s: told for all (0: not); own pace
+        self.knee, self.knee_us = math.inf, 0  # the pace that was refused last; when
         self.told_us = -1  # when the share of the limit that is left was told last (-1: never)
         self.demand, self.served = Tally(memory_us), Tally(memory_us)  # own messages that came, own successes
 
