--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -402,7 +402,8 @@
                 pause_us = RETRY_US
                 if event.turned_away:
                     usual_us = min(RETRY_US * 2.0 ** min(endpoint.turned, 10), RETRY_MAX_US)
-                    pause_us, endpoint.turned = int(usual_us * self.rng.uniform(0.5, 1.5)), endpoint.turned + 1
+                    pause_us = int(usual_us * self.rng.uniform(0.5, 1.5))
+                    endpoint.turned += 1
                 guard.next_us = max(guard.next_us, self.now + pause_us)
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
