Let a few relays follow what is left of a limit as before the fleet's pace

Cause: with three or four relays each has several answers a second from a limit, and follows what is left at once; easing off early, coming back by parts and falling by four tenths only cost it room (_pace_by, _lower, _fail). These now apply to groups of more than four, whose relays meet a limit too seldom to follow it.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -38,6 +38,7 @@
 ALONE_OVERDUES, ALONE_LAST_OVERDUES = 2.0, 4.0  # with slots short, the same where later calls were answered
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
+FEW = 4  # relays of which each still sees by itself what all take together of a limit
 TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
 KNEE = 0.85  # share of a refused pace that is soon taken up again
@@ -54,6 +55,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.set, self.rng, self.now, self.actions = settings, random.Random(seed), 0, list[Action]()
+        self.many = settings.group_size > FEW
         self.classes = {cls.name: cls for cls in settings.classes}
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
@@ -198,19 +200,19 @@
                 self._pace_by(limit, left)
 
     def _pace_by(self, limit: Guard, left: float) -> None:
-        """Ease off where little is left of a limit, and take it whole only as this relay's part of the group.
+        """Ease off where little is left of a limit, and take no more of the rest than many can take together.
 
-        All relays read the same news, and calls that are refused use the limit up too. So no more than an
-        equal part comes back at once, which is all of it for one alone; the rest grows with time.
+        All relays read the same news, and calls that are refused use the limit up too. So with many no more
+        than an equal part comes back at once; the rest grows with time. A few see soon what they take.
         """
         equal, bound = limit.rate / self.set.group_size, min(1.0, ROOM * left) * limit.rate
         since_us = min(SECOND_US, self.now - limit.told_us) if limit.told_us >= 0 else 0
         pace = self._pace(limit)
-        if left < EASE:
+        if left < EASE and self.many:
             ease = EASE_DOWN * (1 - left / EASE) * since_us / SECOND_US
             pace = min(pace, ROOM * self._own(limit)) * (1 - ease)
         if not limit.strikes:
-            pace = max(pace, bound / self.set.group_size)
+            pace = max(pace, bound / self.set.group_size if self.many else bound)
         limit.pace, limit.told_us = min(pace, max(equal, bound)), self.now
 
     def _lower(self, limit: Guard) -> None:
@@ -218,7 +220,7 @@
 
         A told rate may hold no more, or others use it up. Half of what is served is kept in any case.
         """
-        told, knee = limit.told_us >= 0, min(self._pace(limit), self._own(limit))
+        told, knee = limit.told_us >= 0 and self.many, min(self._pace(limit), self._own(limit))
         least = LEAST_PART * limit.rate / self.set.group_size if told else 1e6 / RETRY_MAX_US
         served = 0.5 * limit.served.rate(self.now, self.begun_us)
         limit.pace = max((TOLD_DOWN if told else PACE_DOWN) * knee, served, least)
@@ -408,7 +410,7 @@
             return
         if not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK:  # most calls failing: an outage too
             guard.cold_us = self.now
-        used_up = refused and bool(event.limit_per_s) and ROOM * (event.limit_left or 0.0) < 1
+        used_up = refused and self.many and bool(event.limit_per_s) and ROOM * (event.limit_left or 0.0) < 1
         if guard.strikes and sent_us > guard.strike_us and not used_up:
             self.trials[refused].add(True, self.now)
         if sent_us > guard.strike_us or not guard.strikes:
