--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -139,10 +139,11 @@
 
 def test_little_left_slows_each_of_many_before_any_is_refused() -> None:
     """join+vast: a limit of which little is left was overrun, and refusals then used up all of it."""
-    little = [(api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.5)] * 3]
-    start, *later = paces(40, *little, every_us=SECOND)
+    start, *later = paces(40, (api.Verdict.OK, 0.9), *[(api.Verdict.OK, 0.1)] * 3, every_us=SECOND)
     assert start > later[0] > later[1] > later[2] > 0.0
-    assert paces(4, *little, every_us=SECOND) == [20.0] * 4, "a few need not yet"
+    half = [(api.Verdict.OK, 0.5)] * 3
+    assert paces(4, *half, every_us=SECOND) == [20.0] * 3, "a few need not yet"
+    assert paces(40, *half, every_us=SECOND)[0] < 20.0
 
 
 def limited(busy: int) -> tuple[Relay, Guard]:
