--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -41,7 +41,7 @@
 FEW = 4  # relays of which each still sees by itself what all take together of a limit
 TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
-KNEE = 0.85  # share of a refused pace that is soon taken up again
+KNEE = 0.7  # share of a refused pace that is soon taken up again
 RECOVER_US, KNEE_US = 4_000_000, 30_000_000  # us for e-fold growth up to there, and above
 LOWERED = 0.75  # a told rate under so much of the last one is a lowered limit, and no noise
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
@@ -191,7 +191,7 @@
         if rate and 0 < rate < math.inf:
             if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
                 limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
-            else:
+            elif self.many:
                 if rate < LOWERED * limit.rate:  # the pace may lie far above what it was used for
                     limit.pace = min(limit.pace, self._own(limit))
                 limit.pace, limit.knee = limit.pace * rate / limit.rate, limit.knee * rate / limit.rate
@@ -199,6 +199,10 @@
             if left is not None and 0 <= left <= 1:
                 self._pace_by(limit, left)
 
+    def _eased(self, limit: Guard) -> bool:
+        """Whether the pace is one of many that share what is told to be left of a limit."""
+        return self.many and limit.told_us >= 0
+
     def _pace_by(self, limit: Guard, left: float) -> None:
         """Ease off where little is left of a limit, and take no more of the rest than many can take together.
 
@@ -218,12 +222,15 @@
     def _lower(self, limit: Guard) -> None:
         """Refused above a limit: fall under the pace that was too much, and remember that one.
 
-        A told rate may hold no more, or others use it up. Half of what is served is kept in any case.
+        A told rate may hold no more, or others use it up. With many the equal part is the only floor:
+        what each was served before a limit fell comes in the sum to more than it bears now.
         """
-        told, knee = limit.told_us >= 0 and self.many, min(self._pace(limit), self._own(limit))
-        least = LEAST_PART * limit.rate / self.set.group_size if told else 1e6 / RETRY_MAX_US
-        served = 0.5 * limit.served.rate(self.now, self.begun_us)
-        limit.pace = max((TOLD_DOWN if told else PACE_DOWN) * knee, served, least)
+        knee = min(self._pace(limit), self._own(limit))
+        if self._eased(limit):
+            limit.pace = max(TOLD_DOWN * knee, LEAST_PART * limit.rate / self.set.group_size)
+        else:
+            served = limit.served.rate(self.now, self.begun_us)
+            limit.pace = max(PACE_DOWN * knee, 0.5 * served, 1e6 / RETRY_MAX_US)
         limit.knee = knee if limit.knee == math.inf else (knee + limit.knee) / 2
         limit.knee_us = self.now
 
@@ -358,7 +365,7 @@
             if self.now - guard.cold_us > self.set.warm_within_us:
                 guard.cold_us = -1
         endpoint.limit.served.add(False, self.now)
-        if endpoint.limit.told_us < 0:
+        if not self._eased(endpoint.limit):
             endpoint.limit.pace = self._pace(endpoint.limit) * PACE_UP
 
     def _cut(self, call: Call, lost: bool) -> bool:
@@ -442,10 +449,10 @@
 
     def _pace(self, limit: Guard) -> float:
         """This relay's pace at a limit; it grows with time, and slowly near a pace that was refused."""
-        told = limit.told_us >= 0
-        e_fold_us = RECOVER_US if told else MEMORY_US
+        eased = self._eased(limit)
+        e_fold_us = RECOVER_US if eased else MEMORY_US
         grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / e_fold_us))
-        if told and limit.knee < math.inf:
+        if eased and limit.knee < math.inf:
             knee = KNEE * limit.knee * math.exp(min(50.0, (self.now - limit.knee_us) / KNEE_US))
             grown = min(grown, max(limit.pace, knee))
         limit.pace, limit.pace_us = min(grown, limit.rate or math.inf), self.now
