Ask an overbooked discovery in turns of the whole group

List requests: 6 to 14 turned away a second of all relays, none answered, and calls to endpoints that had left refused (1,390 connections). Cause: _roster asked again after 2.5 s at most, whatever the group's size. 40 relays so keep the queue of discovery full of requests that it gives up after 2 s. Now a first ask and one after a broken watch come soon, and after a refusal each relay takes a turn: an eighth of a second for each of the group, doubled once, with jitter over nearly the whole of it. Groups of up to four ask as often as before. The log now tells when a watch is answered.

--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -123,6 +123,7 @@
                 answer = await connection.response()
             if answer.status_code != 200:
                 raise ConnectionError(f"status {answer.status_code}")
+            LOG.info("discovery: watch answered, from version %d", self.seq)
             await self._lines(connection)
         except (*FAULTS, TimeoutError, ValueError) as error:
             LOG.info("discovery: watch ended: %r", error)
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -40,6 +40,7 @@
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 FEW = 4  # relays of which each still sees by itself what all take together of a limit
 TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
+ASK_US, LIST_US = 500_000, 125_000  # us before a broken watch is asked for again; of a list in a queue of all
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
 KNEE = 0.7  # share of a refused pace that is soon taken up again
 RECOVER_US, KNEE_US = 4_000_000, 30_000_000  # us for e-fold growth up to there, and above
@@ -71,7 +72,8 @@
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
         self.begun_us = -1  # when this life's first step was
-        self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), 500_000  # next ask; its gap
+        # The next ask, and the gap before one after that: the first of a life often comes with all others'.
+        self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), max(ASK_US, self._turn_us)
         self.status_us = 0  # when destinations that hold messages are logged next
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
@@ -137,15 +139,21 @@
             f"suspect {self._suspect(endpoint)}, cold {any(guard.cold_us >= 0 for guard in guards)}"
         )
 
+    @property
+    def _turn_us(self) -> int:
+        """Time in which each relay of the group can ask the directory once."""
+        return LIST_US * self.set.group_size
+
     def _roster(self, event: Roster) -> None:
         """Follow the directory; where it must be asked, a failed or broken watch is asked for again."""
         if event.kind is RosterKind.FAILED:
             if self.set.must_ask:
-                self.ask_us = self.now + int(self.ask_gap_us * self.rng.uniform(0.7, 1.3))
-                self.ask_gap_us = min(2 * self.ask_gap_us, max(500_000, self.set.ask_within_us // 4))
+                self.ask_us = self.now + int(self.ask_gap_us * self.rng.uniform(0.2, 1.8))
+                longest_us = max(ASK_US, self.set.ask_within_us // 4, 2 * self._turn_us)
+                self.ask_gap_us = min(max(2 * self.ask_gap_us, self._turn_us), longest_us)
             return
         if event.kind is not RosterKind.CACHED:
-            self.ask_us, self.ask_gap_us = -1, 500_000
+            self.ask_us, self.ask_gap_us = -1, ASK_US
         named = {entry.host for entry in event.entries}
         for host, endpoint in self.endpoints.items() if event.kind is not RosterKind.CHANGES else ():
             endpoint.listing = endpoint.listing if host in named else Listing.GONE
