Count an absurd report of a limit as not told, and a far one in steps

Observed in the sources and shown by a probe of the module: one X-Pressure with x1=1e-9 sets the pace to 1e-9 calls a second and puts the next call off for 30 years, and with it every better report; x1=1e15 opens the pace without bound until the next one. Cause: _told took any positive rate at its word. A rate outside of 0.1 to 100,000 calls a second is now not told, and any other moves the known one by a factor of four at most. Ruled out: waits and shares left that cannot be read; hosts.py and _told already count them as not told.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -44,6 +44,8 @@
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
 KNEE = 0.7  # share of a refused pace that is soon taken up again
 RECOVER_US, KNEE_US = 4_000_000, 30_000_000  # us for e-fold growth up to there, and above
+LEAST_RATE, MOST_RATE = 0.1, 100_000.0  # calls/s that a told rate may mean
+LEAP = 4.0  # factor by which one report changes a told rate at most
 LOWERED = 0.75  # a told rate under so much of the last one is a lowered limit, and no noise
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
@@ -195,8 +197,14 @@
         return sum(e.banned or e.listing is Listing.DRAINING or self._ill(e) for e in listed)
 
     def _told(self, limit: Guard, rate: float | None, left: float | None = None) -> None:
-        """A rate told for all relays bounds the pace; the share of it that is left shows what others use."""
-        if rate and 0 < rate < math.inf:
+        """A rate told for all relays bounds the pace; the share of it that is left shows what others use.
+
+        A rate that no partner can mean counts as not told, and one far from the last counts in steps: taken
+        at its word, a single absurd report would end all calls for good, or open the pace without bound.
+        """
+        if rate and LEAST_RATE <= rate <= MOST_RATE:
+            if limit.rate:
+                rate = min(max(rate, limit.rate / LEAP), limit.rate * LEAP)
             if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
                 limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
             elif self.many:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from mossfront import interface as api
@@ -231,6 +233,26 @@
     assert visits(400) == visits(4) > 0
 
 
+@pytest.mark.parametrize("size", [1, 40])
+@pytest.mark.parametrize("absurd", [1e-9, 1e-300, 0.0, -3.0, 1e15, 1e300, math.inf, math.nan, 900.0, 0.2])
+def test_an_absurd_report_neither_ends_the_calls_nor_opens_the_pace(size: int, absurd: float) -> None:
+    """A told limit of 1e-9 calls a second put off every later call, and with it every better report."""
+    checker = Checker(settings(group_size=size, hold_cap=500))
+    checker.step(0, [roster(entry("h1"))])
+    relay, paces_seen, calls = checker.relay, list[float](), 0
+    for number in range(60):
+        now_us = (1 + number) * 500_000
+        for send in sends(checker.step(now_us, [api.TimerDue(), arrival(f"m{number}")])):
+            attempt = len(checker.cases[send.id].attempts) - 1
+            rate = absurd if number == 10 else 20.0
+            told = api.Outcome(send.id, attempt, send.host, api.Verdict.OK, 9, True, 0, 0.8, rate)
+            checker.step(now_us + 10_000, [told])
+            calls += number > 20
+        paces_seen.append(relay.endpoints["h1"].limit.pace)
+    assert calls > 30
+    assert max(paces_seen[5:]) <= 4 * 20.0 * 1.03
+
+
 def ask_times(size: int, number: int) -> list[int]:
     """When a relay asks for the list, if each answer to it comes 2 s later and turns it away."""
     checker = Checker(settings(group_size=size, must_ask=True, ask_within_us=10 * SECOND), seed=number)
