--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -170,7 +170,7 @@
     for after_us in (2 * SECOND, 4 * SECOND, 8 * SECOND):
         relay.now = at_us + after_us
         shares.append(relay._pace(limit) / refused)
-    assert 0.7 < shares[0] < shares[1] < shares[2] < 1.0
+    assert 0.7 < shares[0] < shares[1] < shares[2] < 0.85, "small limits were run over every six seconds"
 
 
 def test_what_was_served_before_a_limit_fell_is_no_floor_under_the_pace() -> None:
