Add a tool that measures what a request costs, alone or against another revision

The users ask that processor time, memory and descriptors per request be measured before they are brought down. `python -m tools.cost` starts one relay by the deploy file's `run` among the stand-ins of the tests' world, plays ten scenarios, and tells a table and JSON; `--against REV` plays two revisions in interleaved pairs with the spread of the ratio. Times come from plain plays, counts from traced ones. Bad input ends it with one line and a code, and no process stays.

Not taken: driving a relay to its bound. Steps of the module merge there, and a message looks cheaper than at the tens of messages a second that the users' relays see.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -21,7 +21,7 @@
 
 
 def test_no_line_is_too_wide() -> None:
-    for path in sorted([*ROOT.glob("m*/*.py"), *ROOT.glob("tests/*.py")]):
+    for path in sorted([*ROOT.glob("m*/*.py"), *ROOT.glob("t*/**/*.py")]):
         for line in path.read_text(encoding="utf-8").splitlines():
             assert len(line) <= 110, f"{path.name}: {line}"
 
--- /dev/null
+++ b/tools/cost/__main__.py
@@ -0,0 +1,173 @@
+"""``python -m tools.cost``: measure the relay of this checkout, alone or against another revision."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import io
+import json
+import signal
+import subprocess
+import sys
+import tarfile
+import tempfile
+import tomllib
+from dataclasses import asdict
+from pathlib import Path
+from statistics import median
+from typing import Any, NoReturn
+
+from tools.cost import table
+from tools.cost.play import Checkout, checkout, played
+from tools.cost.reading import CostError, Figures
+from tools.cost.scenarios import SCENARIOS
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+MOST_PAIRS = 50
+BUILD_S = 1200  # s that a build may take
+
+
+class Parser(argparse.ArgumentParser):
+    """A command line whose errors are one line, like every other of the tool."""
+
+    def error(self, message: str) -> NoReturn:
+        raise CostError(message)
+
+
+def options(arguments: list[str]) -> argparse.Namespace:
+    """The command line; what it does not allow ends the program with one line."""
+    parser = Parser(prog="python -m tools.cost", description=__doc__)
+    parser.add_argument("scenarios", nargs="*", help=f"all unless named: {', '.join(SCENARIOS)}")
+    parser.add_argument("--against", metavar="REV", help="play this revision too, in interleaved pairs")
+    parser.add_argument("--pairs", type=int, default=5, help="pairs of plays, or plays of one revision")
+    parser.add_argument("--json", type=Path, metavar="FILE", help="write every figure of every play there")
+    parser.add_argument(
+        "--profile", type=Path, metavar="FOLDER", help="leave SCENARIO.profile for pstats there"
+    )
+    chosen = parser.parse_args(arguments)
+    if unknown := [name for name in chosen.scenarios if name not in SCENARIOS]:
+        raise CostError(f"unknown scenario {unknown[0]!r}; there are {', '.join(SCENARIOS)}")
+    if not 1 <= chosen.pairs <= MOST_PAIRS:
+        raise CostError(f"--pairs: from 1 to {MOST_PAIRS}")
+    if chosen.json is not None and not chosen.json.parent.is_dir():
+        raise CostError(f"--json: no folder {chosen.json.parent}")
+    if chosen.profile is not None and not chosen.profile.is_dir():
+        raise CostError(f"--profile: no folder {chosen.profile}")
+    return chosen
+
+
+def unpacked(revision: str, folder: Path) -> Path:
+    """The files of a revision, in a folder of their own."""
+    command = ["git", "-C", str(ROOT), "archive", "--format=tar", revision]
+    done = subprocess.run(command, capture_output=True, check=False)
+    if done.returncode:
+        raise CostError(f"unknown revision {revision!r}: {done.stderr.decode().strip().splitlines()[-1]}")
+    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
+        archive.extractall(folder, filter="data")
+    return folder
+
+
+def built(name: str, root: Path) -> Checkout:
+    """A checkout after its deploy file's ``build``."""
+    found = checkout(name, root)
+    build = tomllib.loads((root / "deploy" / "balancer.toml").read_text(encoding="utf-8")).get("build")
+    if build:
+        done = subprocess.run(
+            ["/bin/sh", "-c", build], cwd=root, capture_output=True, timeout=BUILD_S, check=False
+        )
+        if done.returncode:
+            lines = done.stderr.decode(errors="replace").strip().splitlines()
+            raise CostError(f"{name}: the build failed: {lines[-1] if lines else done.returncode}")
+    return found
+
+
+async def measured(
+    sources: list[Checkout], scenario: str, pairs: int, profiles: Path | None
+) -> list[list[Figures]]:
+    """The plays of each source: times from plain plays, taken in turns, and counts from one more of each.
+
+    The turns change sides: what warms up or tires with each play burdens both alike.
+    """
+    counts = []
+    for source in sources:
+        profile = profiles / f"{scenario}.profile" if profiles is not None and source is sources[-1] else None
+        counts.append(await played(source, SCENARIOS[scenario], True, profile))
+    plays: list[list[Figures]] = [[] for _ in sources]
+    for pair in range(pairs):
+        order = list(range(len(sources)))
+        for at in order if pair % 2 == 0 else reversed(order):
+            figures = await played(sources[at], SCENARIOS[scenario], False)
+            plays[at].append(counts[at] | figures)
+    return plays
+
+
+async def run(chosen: argparse.Namespace, sources: list[Checkout]) -> dict[str, list[list[Figures]]]:
+    """All scenarios, one after the other, with a line for who waits."""
+    results = {}
+    for scenario in chosen.scenarios or list(SCENARIOS):
+        print(f"playing {scenario} ...", file=sys.stderr, flush=True)
+        results[scenario] = await measured(sources, scenario, chosen.pairs, chosen.profile)
+    return results
+
+
+async def ended_by_signal(chosen: argparse.Namespace, sources: list[Checkout]) -> Any:
+    """The same; SIGTERM ends it as SIGINT does, with every process taken down."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run(chosen, sources)
+
+
+def told(results: dict[str, list[list[Figures]]], sources: list[Checkout]) -> tuple[str, dict[str, Any]]:
+    """The table, and everything as JSON."""
+    everything: dict[str, Any] = {
+        "revisions": [source.name for source in sources],
+        "plays": {
+            scenario: dict(zip([s.name for s in sources], plays, strict=True))
+            for scenario, plays in results.items()
+        },
+    }
+    if len(sources) == 1:
+        medians = {
+            scenario: {name: median(play[name] for play in plays[0]) for name in plays[0][0]}
+            for scenario, plays in results.items()
+        }
+        return table.single(medians), everything
+    ratios = {scenario: table.compared(*plays) for scenario, plays in results.items()}
+    everything["ratios"] = {
+        scenario: {name: asdict(ratio) for name, ratio in found.items()} for scenario, found in ratios.items()
+    }
+    return table.double(ratios), everything
+
+
+def measure(arguments: list[str]) -> None:
+    """Build, play, tell."""
+    chosen = options(arguments)
+    with tempfile.TemporaryDirectory(prefix="cost-base-") as folder:
+        sources = [built("now", ROOT)]
+        if chosen.against is not None:
+            sources.insert(0, built(chosen.against, unpacked(chosen.against, Path(folder))))
+        results = asyncio.run(ended_by_signal(chosen, sources))
+    text, everything = told(results, sources)
+    print(text)
+    if chosen.json is not None:
+        chosen.json.write_text(json.dumps(everything, indent=1) + "\n", encoding="utf-8")
+
+
+def main(arguments: list[str]) -> int:
+    """0 once measured; 2 with one line on standard error where that cannot be done."""
+    try:
+        measure(arguments)
+    except CostError as error:
+        print(f"cost: {error}", file=sys.stderr)
+        return 2
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print("cost: ended before its time", file=sys.stderr)
+        return 130
+    return 0
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(BrokenPipeError):
+        sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/cost/reading.py
@@ -0,0 +1,127 @@
+"""Readings of a running process from outside: what the system and the probe tell of it.
+
+A source that the machine lacks gives nothing: its figures are left out and never taken for zero.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+LOOK_S = 0.01  # s between looks for what the process or strace writes
+Figures = dict[str, float]
+
+
+class CostError(Exception):
+    """A measurement that cannot be made, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What a process had used up when it was read."""
+
+    cpu_us: float  # on a processor, all threads
+    system_us: float  # of this in the kernel, in whole ticks
+    sleeps: int  # times that it waited for something
+    memory_kb: int
+    peak_memory_kb: int
+    descriptors: int
+
+
+def status_of(text: str) -> dict[str, int]:
+    """The numbers in ``/proc/PID/status``."""
+    pairs = (line.split(":", 1) for line in text.splitlines() if ":" in line)
+    return {name: int(words[0]) for name, rest in pairs if (words := rest.split()) and words[0].isdecimal()}
+
+
+def taken(pid: int) -> Taken:
+    """Read a process; ``CostError`` where it is gone."""
+    folder = Path(f"/proc/{pid}")
+    try:
+        ran = [int((task / "schedstat").read_text().split()[0]) for task in (folder / "task").iterdir()]
+        status = status_of((folder / "status").read_text())
+        ticks = (folder / "stat").read_text().rpartition(")")[2].split()
+        descriptors = len(list((folder / "fd").iterdir()))
+    except (OSError, IndexError) as error:
+        raise CostError(f"the relay cannot be read: {error}") from error
+    return Taken(
+        cpu_us=sum(ran) / 1000,
+        system_us=int(ticks[12]) * TICK_S * 1e6,
+        sleeps=status["voluntary_ctxt_switches"],
+        memory_kb=status.get("VmRSS", 0),
+        peak_memory_kb=status.get("VmHWM", 0),
+        descriptors=descriptors,
+    )
+
+
+def calls_of(summary: str) -> dict[str, int]:
+    """System calls by name in the table of ``strace -c``."""
+    calls: dict[str, int] = {}
+    for line in summary.splitlines():
+        words = line.split()
+        if len(words) >= 5 and words[0].replace(".", "").isdecimal() and words[-1] != "total":
+            calls[words[-1]] = int(words[3])
+    return calls
+
+
+class Probe:
+    """The counts that the process tells of itself, on a signal."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.profile = path.with_name(path.name + ".profile")
+
+    @property
+    def environment(self) -> dict[str, str]:
+        """What makes a Python process load the probe."""
+        folder = str(Path(__file__).resolve().parent / "probe")
+        return {"COST_PROBE": str(self.path), "PYTHONPATH": folder}
+
+    async def read(self, pid: int) -> Figures:
+        """Ask, and wait for the answer."""
+        before = self._lines()
+        os.kill(pid, signal.SIGUSR1)
+        while len(lines := self._lines()) == len(before):
+            await asyncio.sleep(LOOK_S)
+        return {name: float(value) for name, value in json.loads(lines[-1]).items()}
+
+    def _lines(self) -> list[str]:
+        text = self.path.read_text(encoding="utf-8") if self.path.exists() else ""
+        return text[: text.rfind("\n") + 1].splitlines()
+
+
+class Strace:
+    """System calls of a process while it is traced; none are told where there is no ``strace``."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self, pid: int) -> None:
+        """Attach; the process goes on only once this is done."""
+        program = shutil.which("strace")
+        if program is None:
+            return
+        self._process = await asyncio.create_subprocess_exec(
+            program,
+            *("-c", "-f", "-U", "time-percent,total-time,avg-time,calls,name", "-o", str(self._path)),
+            *("-p", str(pid)),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert self._process.stderr is not None
+        await self._process.stderr.readline()  # it says that it is attached, or why not
+
+    async def stop(self) -> dict[str, int]:
+        """Detach; the calls by name, nothing where it could not be counted."""
+        if self._process is None:
+            return {}
+        if self._process.returncode is None:
+            self._process.send_signal(signal.SIGINT)
+        await self._process.wait()
+        return calls_of(self._path.read_text()) if self._path.exists() else {}
