--- a/mallowlug/journal.py
+++ b/mallowlug/journal.py
@@ -24,6 +24,8 @@
 LATER, MOST_LATER = 4, 112  # records that compaction may keep of a message beside its own; bytes, without id
 BAN, UNBAN = "ban", "unban"  # records of endpoints, not of messages
 SLACK_BYTES = 256 * 1024  # garbage that is worth a compaction
+# One encoder for all records: ``json.dumps`` with separators makes a new one for each.
+encoded = json.JSONEncoder(separators=(",", ":")).encode
 
 
 class JournalFullError(Exception):
@@ -86,7 +88,7 @@
 
 def framed(head: list[Any], body: bytes = b"") -> bytes:
     """One record's bytes."""
-    payload = json.dumps(head, separators=(",", ":")).encode() + b"\n" + body
+    payload = encoded(head).encode() + b"\n" + body
     return FRAME.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
 
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -15,7 +15,7 @@
 import time
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator, Set
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from itertools import islice
 from typing import Any
 
@@ -59,6 +59,11 @@
     order: str = ""
     key: str = ""
 
+    @property
+    def fields(self) -> dict[str, str | int]:
+        """By name, for the journal; ``asdict`` copies each value deeply and takes ten times as long."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
 
 @dataclass(slots=True)
 class Held:
@@ -281,7 +286,7 @@
         if len(self._held) >= self._set.hold_cap:
             return False
         try:
-            self._journal.accept(handed.id, asdict(handed), body)
+            self._journal.accept(handed.id, handed.fields, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error)
             return False
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from dataclasses import asdict
 from pathlib import Path
 
 import pytest
@@ -9,6 +11,7 @@
 from hypothesis import strategies as st
 
 from mallowlug.journal import SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
+from mallowlug.relay import Handed
 
 DISK = 3_000_000
 
@@ -200,3 +203,10 @@
     want = [state for size, state in states if size <= end][-1]
     found = reopened(folder).recovered
     assert {ref: (m.body, len(m.attempts), m.notice) for ref, m in found.items()} == want
+
+
+def test_a_message_is_journaled_field_by_field() -> None:
+    """The cheap form tells what the deep copy did."""
+    handed = Handed("m1", 3, "keyed", 123, "t", "", "k")
+    assert handed.fields == asdict(handed)
+    assert Handed(**json.loads(json.dumps(handed.fields))) == handed
