Watch a connection to an endpoint once for all its calls, by its number

Of 25.9 system calls for a message, 4.1 were asks of the loop to look for an answer or for the end of an idle connection and to stop it, 4 the addresses that the loop wrote out each time because it was given a socket that it did not know (`selectors` puts the object's text into an error that nobody reads), 7.3 asks for the process number behind `get_running_loop`, and 2 reads that found nothing yet.

A connection is now watched from its first answer until it is closed. What comes is taken in the callback, so that the loop tells of it once; bytes that nobody waits for end the watching and are told of at once, as the end of an idle connection was before. Whether a connection is quiet is asked of the system when it is taken up, no longer also when it is put down: what came between is told by the loop. The running loop is asked for once by those that use it all the time.

Not taken: asyncio's streams or transports for endpoints. They hide how many bytes of a request are still here, which is what tells "never ran" from "may have run".

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import h11
 
@@ -184,6 +185,8 @@
     def __init__(
         self, kinds: Iterable[Kind], keepalive_us: int, connect_us: int, most_idle: int, settled: Settled
     ) -> None:
+        # Kept, as whoever asks for the running loop asks the system for the process each time.
+        self._loop = asyncio.get_running_loop()
         self._kinds = {kind.name: kind for kind in kinds}
         self._idle_s, self._connect_s = keepalive_us / 1e6 * IDLE_SHARE, connect_us / 1e6
         self._most_idle, self._settled = most_idle, settled
@@ -268,7 +271,7 @@
         self._start(call, self._exchange, time.monotonic())
 
     def _start(self, call: Call, exchange: Callable[[Call], Awaitable[bool]], since_s: float) -> None:
-        loop = asyncio.get_running_loop()
+        loop = self._loop
         self.calls.add(call)
         for part in call.open:
             if part.overdue:
@@ -364,8 +367,7 @@
                 self._stop(call, other, Verdict.TIMEOUT)
         else:
             more_s = max(0, part.left_us - part.limit_us) / 1e6
-            loop = asyncio.get_running_loop()
-            part.timer = loop.call_later(more_s, self._stop, call, part, Verdict.TIMEOUT)
+            part.timer = self._loop.call_later(more_s, self._stop, call, part, Verdict.TIMEOUT)
 
     def _stop(self, call: Call, part: Part, verdict: Verdict) -> None:
         """End one part before its answer; with the last one the connection is closed."""
@@ -473,7 +475,7 @@
         idle = self._idle.get(host, [])
         while idle:
             connection, timer = idle.pop()
-            asyncio.get_running_loop().remove_reader(connection.sock)
+            connection.unasked = None
             timer.cancel()
             if connection.quiet():
                 self.counts["reused"] += 1
@@ -494,10 +496,10 @@
         return True
 
     def _put(self, host: str, connection: Connection, kept_s: float) -> None:
-        loop = asyncio.get_running_loop()
         connection.kept_s = kept_s
-        timer = loop.call_at(kept_s + self._idle_s, self._expire, host, connection)
-        loop.add_reader(connection.sock, self._expire, host, connection)
+        timer = self._loop.call_at(kept_s + self._idle_s, self._expire, host, connection)
+        connection.unasked = partial(self._expire, host, connection)
+        connection.watch()
         self._idle.setdefault(host, []).append((connection, timer))
 
     def _expire(self, host: str, connection: Connection) -> None:
@@ -509,6 +511,5 @@
 
     @staticmethod
     def _drop(connection: Connection, timer: asyncio.TimerHandle) -> None:
-        asyncio.get_running_loop().remove_reader(connection.sock)
         timer.cancel()
         connection.close()
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -6,6 +6,7 @@
 import math
 import re
 import socket
+from collections.abc import Callable
 
 import h11
 
@@ -28,6 +29,10 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
         self.came = bytearray()  # the present answer so far
         self._brief, self._by_s = False, math.inf  # whether 200 says all; the loop's time to wait until then
+        self._loop = asyncio.get_running_loop()
+        self._watched = False  # whether the loop looks for bytes; it goes on between calls
+        self._waiter: asyncio.Future[None] | None = None  # of an answer's next bytes
+        self.unasked: Callable[[], None] | None = None  # told of bytes or an end that nobody waits for
 
     @classmethod
     async def open(cls, address: Address) -> Connection:
@@ -75,21 +80,17 @@
             self.unsent = len(view)
 
     async def _writable(self) -> None:
-        loop = asyncio.get_running_loop()
         ready = asyncio.Event()
-        loop.add_writer(self.sock, ready.set)
+        self._loop.add_writer(self.sock.fileno(), ready.set)
         try:
             await ready.wait()
         finally:
-            loop.remove_writer(self.sock)
+            self._loop.remove_writer(self.sock.fileno())
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         """The next part of the answer; a broken or ended connection raises."""
         while (event := self._http.next_event()) is h11.NEED_DATA:
-            data = await self._more()
-            if not data and not self.came:
-                raise ConnectionResetError("ended without an answer")
-            self._take(data)
+            await self._more()
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionResetError("closed before an answer")
         return event  # type: ignore[return-value]
@@ -104,17 +105,70 @@
         if came:
             self._take(came)
 
-    async def _more(self) -> bytes:
-        """The next bytes of the answer.
+    async def _more(self) -> None:
+        """Wait for more of the answer.
 
         Some hosts stop behind the first line. Waited for until the message's time is up, they would hold a
         slot for nothing, and the end that is known would come too late.
         """
-        loop = asyncio.get_running_loop()
         if self._brief and self.says_delivered:
-            self._by_s = min(self._by_s, loop.time() + REST_S)
-        async with asyncio.timeout_at(None if self._by_s == math.inf else self._by_s):
-            return await loop.sock_recv(self.sock, READ)
+            self._by_s = min(self._by_s, self._loop.time() + REST_S)
+        self.watch()
+        waiter = self._waiter = self._loop.create_future()
+        timer = None if self._by_s == math.inf else self._loop.call_at(self._by_s, self._too_late, waiter)
+        try:
+            await waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
+    @staticmethod
+    def _too_late(waiter: asyncio.Future[None]) -> None:
+        if not waiter.done():
+            waiter.set_exception(TimeoutError())
+
+    def watch(self) -> None:
+        """Have the loop look for bytes, until there are some that nobody waits for.
+
+        Asked for anew with each read, as by ``loop.sock_recv``, that costs four system calls a call. A number
+        is given and not the socket: the loop writes out what it does not know yet, and a socket's text asks
+        the system twice.
+        """
+        if not self._watched:
+            self._loop.add_reader(self.sock.fileno(), self._stirred)
+            self._watched = True
+
+    def _stirred(self) -> None:
+        """Take what came at once: left for later, the loop would tell of it a second time."""
+        waiter = self._waiter
+        if waiter is None:
+            self._unwatch()
+            if self.unasked is not None:
+                self.unasked()
+        elif not waiter.done():
+            try:
+                self._read()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._unwatch()
+                waiter.set_exception(error)
+            else:
+                waiter.set_result(None)
+
+    def _read(self) -> None:
+        data = self.sock.recv(READ)
+        if not data:
+            self._unwatch()
+            if not self.came:
+                raise ConnectionResetError("ended without an answer")
+        self._take(data)
+
+    def _unwatch(self) -> None:
+        if self._watched:
+            self._loop.remove_reader(self.sock.fileno())
+            self._watched = False
 
     @property
     def says_delivered(self) -> bool:
@@ -145,11 +199,15 @@
         return False
 
     def reusable(self) -> bool:
-        """Whether both sides are done with the last call and keep the connection."""
+        """Whether both sides are done with the last call and keep the connection, by what was read of it.
+
+        What comes from now on is told as ``unasked``, or found by ``quiet`` when it is taken up again.
+        """
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self.begun = False
-        return self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE and self.quiet()
+        idle = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
+        return idle and not self._http.trailing_data[0]
 
     def quiet(self) -> bool:
         """Whether nothing came unasked: neither bytes nor the other side's end."""
@@ -165,6 +223,7 @@
 
     def close(self) -> None:
         """Give the connection up, and with it a call that is out on it."""
+        self._unwatch()
         self.sock.close()
 
 
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -133,6 +133,7 @@
 
     def __init__(self, config: Config, journal: Journal, crashed: Callable[[BaseException], None]) -> None:
         self._set, self._journal, self._crashed = config.settings, journal, crashed
+        self._loop = asyncio.get_running_loop()
         self.clock = Clock()
         self._module = Module(config.settings, config.seed)
         self._hosts = Hosts(
@@ -205,7 +206,7 @@
         counts = ", ".join(f"{count} {name}" for name, count in sorted(self._hosts.counts.items()))
         out = len(self._hosts.calls)
         LOG.info("holds %d messages, %d calls out; connections: %s", len(self._held), out, counts)
-        self._status = asyncio.get_running_loop().call_later(STATUS_S, self._report)
+        self._status = self._loop.call_later(STATUS_S, self._report)
 
     def shut_down(self, stop_s: float | None) -> None:
         """From now on only calls are started that end by then, the rest stays in the journal; None: go on."""
@@ -387,15 +388,13 @@
         """Put an event before the module at its next step, one round after the last at the earliest."""
         self._inbox.append(event)
         if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(max(loop.time(), self._next_s), self._step)
+            self._timer = self._loop.call_at(max(self._loop.time(), self._next_s), self._step)
 
     def _step(self) -> None:
         """One batch through the module; an error here is no single message's and ends the process."""
-        loop = asyncio.get_running_loop()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer, self._next_s = None, loop.time() + self._set.round_us / 1e6
+        self._timer, self._next_s = None, self._loop.time() + self._set.round_us / 1e6
         events, self._inbox = self._inbox, []
         try:
             self._carry_out(self._module.step(self.clock(), events))
@@ -420,8 +419,7 @@
                 case api.Subscribe():
                     self._watch.subscribe()
                 case api.Wake():
-                    loop = asyncio.get_running_loop()
-                    loop.call_later(action.delay_us / 1e6, self._post, api.TimerDue())
+                    self._loop.call_later(action.delay_us / 1e6, self._post, api.TimerDue())
                 case api.Log():
                     LOG.info("%s", action.line)
                 case api.Probe():
@@ -475,5 +473,4 @@
 
     def _can_end(self, send: api.Send) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
-        now_s = asyncio.get_running_loop().time()
-        return self._stop_s is None or now_s + send.limit_us / 1e6 <= self._stop_s
+        return self._stop_s is None or self._loop.time() + send.limit_us / 1e6 <= self._stop_s
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -404,6 +404,61 @@
     right.close()
 
 
+async def test_a_connection_is_watched_once_for_all_its_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A call that asks the loop anew costs four system calls; a socket in place of its number four more."""
+    host, loop = await serving(), asyncio.get_running_loop()
+    calls, asked, add_reader = Calls(host.port), list[object](), loop.add_reader
+
+    def counted(fd: int, callback: Callable[..., object], *args: object) -> object:
+        asked.append(fd)
+        return add_reader(fd, callback, *args)
+
+    monkeypatch.setattr(loop, "add_reader", counted)
+    for number in range(10):
+        calls.send(f"m{number}")
+        assert (await calls.outcome(f"m{number}")).verdict is Verdict.OK
+    assert host.connections == 1
+    assert len(asked) == 1
+    assert isinstance(asked[0], int)
+    host.stop()
+
+
+async def test_an_idle_connection_that_the_host_ends_is_dropped_and_watched_no_more() -> None:
+    host = await serving()
+    calls = Calls(host.port)
+    calls.send("m1")
+    await calls.outcome("m1")
+    host.stop()
+    while not calls.hosts.counts["ended by host"]:
+        await asyncio.sleep(0)
+    assert not any(calls.hosts._idle.values())
+
+
+async def test_an_early_answer_to_a_request_that_is_still_written_does_not_spin(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Bytes that nobody waits for yet are told of once; they are read when the request is out."""
+    left, right = socket.socketpair()
+    left.setblocking(False)
+    connection, told = Connection(left, ("127.0.0.1", 1)), [0]
+    connection.watch()
+    unwatch = connection._unwatch
+
+    def counted() -> None:
+        told[0] += 1
+        unwatch()
+
+    monkeypatch.setattr(connection, "_unwatch", counted)
+    right.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert told == [1]
+    connection.request("POST", "/", [], b"x")
+    assert (await soon(connection.response())).status_code == 200
+    connection.close()
+    right.close()
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "verdict"),
     [
