Read a client's request that comes in small pieces by the lengths that it tells

A request was read from its start with each piece that came, and what had come was copied whole: a request of 60 kB in single bytes was looked at 60,027 times. Now the lengths in what has come tell how many bytes there are at least before another look can find an end, or a wrong one, and pieces are added in place.

Such a request is looked at for the bytes of its lines alone (27 times); a broken end is still found with its first byte, and a request with its last, which a test holds for any cut.

Not taken: pieces in a list.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -78,7 +78,8 @@
 
     def __init__(self, server: Server, data: bytes = b"", by_s: float | None = None) -> None:
         self._server = server
-        self._data = data  # what came since the last whole request
+        self._data = bytearray(data)  # what came since the last whole request
+        self._least = 0  # bytes of it before which no request can be whole
         self._by_s = by_s  # the loop's time until which one has to come; None: the usual patience
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
@@ -123,11 +124,8 @@
     def _serve(self, data: bytes) -> None:
         assert self._transport is not None
         self._data += data
-        while self._data and (found := resp.request_at(self._data, MOST_COMMAND)) is not None:
-            words, end = found
-            self._data = self._data[end:]
-            self._rest()
-            self._transport.write(self._server.answer(words))
+        if len(self._data) >= self._least:
+            self._answer(bytes(self._data))
         if len(self._data) > MOST_COMMAND:
             raise resp.ProtocolError("a request without end")
         if self._data and self._timer is None:
@@ -135,6 +133,17 @@
         if self.ending and not self._data:
             self._transport.close()
 
+    def _answer(self, data: bytes) -> None:
+        """Answer what is whole, and keep the rest."""
+        assert self._transport is not None
+        while data and (found := resp.request_at(data, MOST_COMMAND)) is not None:
+            words, end = found
+            data = data[end:]
+            self._rest()
+            self._transport.write(self._server.answer(words))
+        self._data = bytearray(data)
+        self._least = resp.least_size(data) if data else 0
+
     def _wait(self) -> None:
         """A whole request has to come in time: silent peers and halves of requests hold descriptors."""
         loop = asyncio.get_running_loop()
@@ -168,7 +177,7 @@
         """
         assert self._transport is not None
         self._rest()
-        self._parted, self._data = True, b""
+        self._parted, self._data = True, bytearray()
         self._transport.write(line)
         self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
--- a/mallowlug/resp.py
+++ b/mallowlug/resp.py
@@ -69,3 +69,19 @@
             words.append(data[at:end])
             at = end + len(END)
     return (words if proper and words else None), at
+
+
+def least_size(data: bytes) -> int:
+    """How many bytes there are at least once the first request is whole, of which ``data`` is a beginning.
+
+    A peer may send a large value byte by byte. Read from its start with each of them, the request would cost
+    the square of its length; with this many it is worth another look, for its end or for a wrong one.
+    """
+    at = 0
+    while (found := line_at(data, at)) is not None:
+        line, at = found
+        if line[:1] == b"$" and (length := length_of(line)) >= 0:
+            at += length + len(END)
+            if at > len(data):
+                return max(len(data), at - len(END)) + 1
+    return len(data) + 1
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from mallowlug import clients
+from mallowlug import clients, resp
 from mallowlug.relay import Driver
-from tests.world import BOUND_S, soon
+from tests.world import BOUND_S, packed, soon
 
 BROKEN = b"nonsense\r\n"
 
@@ -55,3 +55,27 @@
     _reader, writer = await parted(server)
     await gone(server)
     writer.close()
+
+
+async def test_a_large_request_in_single_bytes_is_not_read_anew_with_each(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The work for each byte stays the same however long the request becomes."""
+    looked, request_at = [0], resp.request_at
+
+    def counted(data: bytes, most: int) -> tuple[list[bytes] | None, int] | None:
+        looked[0] += 1
+        return request_at(data, most)
+
+    monkeypatch.setattr(resp, "request_at", counted)
+    monkeypatch.setattr(server, "answer", lambda words: b"+%d\r\n" % len(words[1]))
+    client = clients.Client(server)
+    left, right = socket.socketpair()
+    await asyncio.get_running_loop().connect_accepted_socket(lambda: client, left)
+    data = packed(b"ENQUEUE", bytes(60_000))
+    for at in range(len(data)):
+        client.data_received(data[at : at + 1])
+    assert looked[0] <= len(data) - 60_000
+    assert right.recv(100) == b"+60000\r\n"
+    client.end()
+    right.close()
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mallowlug.resp import ProtocolError, request_at
+from mallowlug.resp import ProtocolError, least_size, request_at
 from tests.world import packed
 
 MOST = 1000
@@ -58,3 +58,29 @@
 )
 def test_other_values_are_no_requests_and_have_an_end(data: bytes) -> None:
     assert request_at(data + b"*1\r\n", MOST) == (None, len(data))
+
+
+@given(st.lists(st.binary(max_size=200), min_size=1, max_size=6))
+def test_looking_only_at_the_sizes_that_are_told_misses_nothing(words: list[bytes]) -> None:
+    """Byte by byte: found with the same byte as before, and nothing is looked at for the bytes of a value."""
+    data = packed(*words)
+    looks, least = 0, 0
+    for size in range(1, len(data) + 1):
+        if size < least:
+            continue
+        looks += 1
+        if request_at(data[:size], MOST) is not None:
+            assert size == len(data)
+            break
+        least = least_size(data[:size])
+        assert least > size
+    else:
+        raise AssertionError("missed")
+    assert looks <= len(data) - sum(map(len, words))
+
+
+def test_a_wrong_end_is_found_with_its_first_byte() -> None:
+    begun = b"*1\r\n$500\r\n" + bytes(400)
+    least = least_size(begun)
+    with pytest.raises(ProtocolError):
+        request_at(begun + bytes(least - len(begun)), MOST)
