Add a ledger of what a process costs, read at /admin/cost and logged once a minute

The users run relays on small shares of a core, 32 to 192 MB and 256 to 1,024 descriptors, and ask to see in service what each costs.

It ticks once a second only where operators can call.

Most memory is taken from /proc: `getrusage` told 41.9 MB for a process that never had more than 27.8, since it goes on with the memory of whoever started it; the test that reads the process from outside found it.

Not taken: a thread or a file that is written beside the relay. A reading would be older than the call, and each figure would need a lock. Nor the purposes from the links in /proc/self/fd: up to 1,024 of them, on the loop that serves.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -17,6 +17,7 @@
 from mallowlug import config
 from mallowlug.admin import FORMER_S, Admin, Desk
 from mallowlug.clients import Server
+from mallowlug.cost import Counted, Ledger
 from mallowlug.handover import Estate, Inheritance, Lock, Offer, succeed
 from mallowlug.journal import Journal
 from mallowlug.listen import Listener, bound, freed, passed
@@ -27,6 +28,8 @@
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
 TURNS = 5  # of the loop, in which connections that are accepted come up and what they brought is answered
 SPARE = 16  # descriptors of a process beside those of clients, calls and idle connections
+COST_S = 60.0  # s between log lines on what the process uses
+FILES = 2  # the journal and the lock
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
@@ -37,6 +40,7 @@
         self._cfg, self._layout = cfg, layout(cfg.settings)
         self.ended: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self.admin = Admin()
+        self._costs: asyncio.TimerHandle | None = None  # of the next line on costs
         # Without a passed socket no other process could accept this one's clients.
         self._path = cfg.folder / "handover.sock"
 
@@ -58,13 +62,40 @@
         sock = bound(cfg.listen) if cfg.passed_socket is None else passed(cfg.passed_socket)
         await self.server.start(sock)
         release = given.giver.close if given is not None else lambda: None
-        self.admin.desk = Desk(self.driver, lambda: self.server.serving, release)
+        self.ledger = Ledger(self._counted)
+        self.admin.desk = Desk(self.driver, lambda: self.server.serving, release, self.ledger.lines)
         if cfg.admin is None:  # nobody will ask
             release()
+        else:
+            self.ledger.start()
+            self._tell_costs_later()
         self.offer = Offer(self._path, self._layout, self._still, self._estate, self._go_on)
         if cfg.passed_socket is not None:
             self.offer.start()
 
+    def _counted(self) -> Counted:
+        """What the parts know of their cost."""
+        counts = self.driver.figures.counts
+        return Counted(
+            ended=counts.ended.total(),
+            module_us=self.driver.module_us,
+            journal_bytes=self.journal.written_bytes,
+            journal_writes=self.journal.writes,
+            descriptors={
+                "clients": len(self.server.clients),
+                **self.driver.descriptors,
+                "operators": len(self.admin.callers),
+                "files": FILES,
+            },
+        )
+
+    def _tell_costs_later(self) -> None:
+        self._costs = asyncio.get_running_loop().call_later(COST_S, self._tell_costs)
+
+    def _tell_costs(self) -> None:
+        LOG.info("cost: %s", self.ledger.summary())
+        self._tell_costs_later()
+
     def _crashed(self, _error: BaseException) -> None:
         if not self.ended.done():
             self.ended.set_result(1)
@@ -124,6 +155,9 @@
     def close(self) -> None:
         """Let go of everything."""
         self.offer.close()
+        self.ledger.close()
+        if self._costs is not None:
+            self._costs.cancel()
         self.admin.close()
         self.server.close()
         self.driver.close()
--- a/mallowlug/admin.py
+++ b/mallowlug/admin.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
@@ -26,8 +26,9 @@
 LINGER_S = 0.4  # s that a caller may take to close behind its answer
 MOST_CALLERS = 16  # connections at once; the one that was silent longest goes before a new one is kept out
 MOST_BODY = 4096  # bytes of a call's body, which means nothing
-HEALTH, STATS, CORDON, UNCORDON = "/admin/health", "/admin/stats", "/admin/cordon", "/admin/uncordon"
-METHODS = {HEALTH: b"GET", STATS: b"GET", CORDON: b"PUT", UNCORDON: b"PUT"}
+HEALTH, STATS, COST = "/admin/health", "/admin/stats", "/admin/cost"
+CORDON, UNCORDON = "/admin/cordon", "/admin/uncordon"
+METHODS = {HEALTH: b"GET", STATS: b"GET", COST: b"GET", CORDON: b"PUT", UNCORDON: b"PUT"}
 PREFIX = "app"
 FORMER_S = 3.0  # s in which the address of the process before is answered too
 NOTHING = Counts(Counter(), 0)
@@ -81,9 +82,14 @@
     """Answers whole calls."""
 
     def __init__(
-        self, driver: Driver, takes_clients: Callable[[], bool], said_yes: Callable[[], None]
+        self,
+        driver: Driver,
+        takes_clients: Callable[[], bool],
+        said_yes: Callable[[], None],
+        costs: Callable[[], Iterable[str]],
     ) -> None:
         self._driver, self._takes_clients, self._said_yes = driver, takes_clients, said_yes
+        self._costs = costs  # a line for each figure of what the process uses
 
     def answer(self, method: bytes, target: bytes, former: Counts) -> Answer:
         """The answer to one call, at the address of a process that counted so much before."""
@@ -96,6 +102,8 @@
             return self._health()
         if path == STATS:
             return Answer(200, rendered(self._driver.figures, former))
+        if path == COST:
+            return Answer(200, "".join(f"{PREFIX}.{line}\n" for line in self._costs()))
         return self._ban(endpoint_of(query), path == CORDON)
 
     def _health(self) -> Answer:
--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -81,6 +81,7 @@
         self._address, self.seq, self._told, self._failed = address, seq, told, failed
         self._task: asyncio.Task[None] | None = None
         self._answered = False
+        self.connections = 0  # open ones
 
     def subscribe(self) -> None:
         """Start a watch; one that never answered is given up for it, one that works is kept."""
@@ -118,6 +119,7 @@
         try:
             async with asyncio.timeout(FIRST_S):
                 connection = await Connection.open(self._address)
+                self.connections += 1
                 target = f"{HOSTS}?watch=1&from={self.seq}"
                 await connection.send(connection.request("GET", target, []))
                 answer = await connection.response()
@@ -131,6 +133,7 @@
             LOG.exception("discovery: watch broke")
         finally:
             if connection is not None:
+                self.connections -= 1
                 connection.close()
         self._failed()
 
@@ -158,12 +161,6 @@
         self._told(news)
 
 
-def drop(connection: Connection | None) -> None:
-    """Close a connection, where there is one."""
-    if connection is not None:
-        connection.close()
-
-
 @dataclass(frozen=True, slots=True)
 class Notice:
     """The end of a message that was not delivered."""
@@ -188,6 +185,7 @@
         self._queue: asyncio.Queue[Notice] = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
         self.owed = 0
+        self.connections = 0  # open ones
 
     def start(self) -> None:
         """Begin to post."""
@@ -207,6 +205,12 @@
         for task in self._tasks:
             task.cancel()
 
+    def _drop(self, connection: Connection | None) -> None:
+        """Close a connection, where there is one."""
+        if connection is not None:
+            self.connections -= 1
+            connection.close()
+
     async def _work(self) -> None:
         connection: Connection | None = None
         address = self._address
@@ -218,7 +222,7 @@
             again_s, post_s = AGAIN_S[0], POST_S[0]
             while batch:
                 if address != self._address:
-                    drop(connection)
+                    self._drop(connection)
                     connection, address = None, self._address
                 connection, status = await self._post(connection, batch, post_s)
                 if status == 204:
@@ -246,8 +250,10 @@
         try:
             async with asyncio.timeout(post_s):
                 if connection is None or not connection.quiet():
-                    drop(connection)
+                    self._drop(connection)
+                    connection = None
                     connection = await Connection.open(self._address)
+                    self.connections += 1
                 body = b"".join(notice.line() for notice in batch)
                 await connection.send(connection.request("POST", NOTICES, [], body))
                 status = (await connection.response()).status_code
@@ -260,5 +266,5 @@
         except Exception:  # a worker that dies would hold back every later notice
             LOG.exception("notices: post broke")
             status = 0
-        drop(connection)
+        self._drop(connection)
         return None, status
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -259,6 +259,16 @@
         """How long the host is still to be left alone."""
         return max(0, int((self._waits.get(self._route(host), 0.0) - time.monotonic()) * 1e6))
 
+    @property
+    def busy(self) -> int:
+        """Connections that carry a call."""
+        return sum(call.connection is not None for call in self.calls)
+
+    @property
+    def idle(self) -> int:
+        """Connections that are kept for the next call."""
+        return sum(map(len, self._idle.values()))
+
     def barred(self, host: str) -> Told | None:
         """Why nothing may be written there now: decided before, a call must still obey newer news."""
         wait_us = self.wait_left_us(host)
@@ -489,7 +499,7 @@
         if not self._open_to(host) or not connection.reusable():
             self.counts["not reusable"] += 1
             return False
-        if sum(map(len, self._idle.values())) >= self._most_idle:
+        if self.idle >= self._most_idle:
             self.counts["over the bound"] += 1
             return False
         self._put(host, connection, time.monotonic())
--- a/mallowlug/journal.py
+++ b/mallowlug/journal.py
@@ -135,6 +135,7 @@
         self._live_bytes, self._reserved = 0, 0  # what a compacted log takes now, and what it may on top
         self._bans: dict[str, bytes] = {}  # the raw record of each endpoint that operators leave out
         self.recovered: dict[str, Recovered] = {}
+        self.writes, self.written_bytes = 0, 0  # of this process
         self._spare.unlink(missing_ok=True)  # a compaction that did not end: the old log still counts
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self._size = self._replay(self._path.read_bytes())
@@ -269,6 +270,7 @@
             os.ftruncate(self._fd, self._size)
             raise JournalFullError("short write")
         self._size += written
+        self.writes, self.written_bytes = self.writes + 1, self.written_bytes + written
         for head, raw in records:
             self._keep(head, raw)
 
@@ -295,3 +297,4 @@
             return
         os.close(self._fd)
         self._fd, self._size = fd, len(data)
+        self.writes, self.written_bytes = self.writes + 1, self.written_bytes + len(data)
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -156,6 +156,7 @@
         self._put_off: list[api.Send] = []  # calls that were not made for that
         self._classes = {cls.name for cls in config.settings.classes}
         self._known = config.known
+        self.module_us = 0  # time in the module's steps
 
     def start(self) -> None:
         """Take up what the last life left, then follow the list; called before clients are answered."""
@@ -259,6 +260,15 @@
             self._module.excluded,
         )
 
+    @property
+    def descriptors(self) -> dict[str, int]:
+        """Open ones by purpose; a connection that is coming up is not counted yet."""
+        return {
+            "endpoints_idle": self._hosts.idle,
+            "endpoints_busy": self._hosts.busy,
+            "discovery": self._watch.connections + self._notices.connections,
+        }
+
     def refused(self, cls: str) -> None:
         """Count a message that was turned away at the door."""
         self._ended[cls, REFUSED] += 1
@@ -397,7 +407,10 @@
         self._timer, self._next_s = None, self._loop.time() + self._set.round_us / 1e6
         events, self._inbox = self._inbox, []
         try:
-            self._carry_out(self._module.step(self.clock(), events))
+            begun_ns = time.perf_counter_ns()
+            actions = self._module.step(self.clock(), events)
+            self.module_us += (time.perf_counter_ns() - begun_ns) // 1000
+            self._carry_out(actions)
         except Exception as error:
             LOG.critical("the step loop broke", exc_info=True)
             self._crashed(error)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -105,6 +105,8 @@
         ("PUT", "cordon?who=%FF", 400),
         ("GET", "cordon?who=h1", 405),
         ("PUT", "health", 405),
+        ("PUT", "cost", 405),
+        ("GET", "cost/more", 404),
         ("GET", "nothing", 404),
     ],
 )
--- a/tests/world.py
+++ b/tests/world.py
@@ -432,8 +432,15 @@
 
     async def figures(self, port: int = 0) -> dict[str, int]:
         """The figures, by name without the prefix."""
-        _, body = await self.call("GET", "stats", port)
-        pairs = (line.removeprefix("app.").split(":") for line in body.splitlines())
+        return await self._lines("stats", "app.", port)
+
+    async def costs(self) -> dict[str, int]:
+        """What the process tells of its cost, by name without the prefix."""
+        return await self._lines("cost", "app.cost.", 0)
+
+    async def _lines(self, target: str, prefix: str, port: int) -> dict[str, int]:
+        _, body = await self.call("GET", target, port)
+        pairs = (line.removeprefix(prefix).split(":") for line in body.splitlines())
         return {name: int(value.partition("|")[0]) for name, value in pairs}
 
     async def counted(self, name: str, value: int) -> None:
