Ask less of each endpoint when a call is placed, with the same decisions

Whether an endpoint has room was asked with both trial shares of every guard, and with a look at all of a partner's endpoints for sickness, although most guards have no strike and calls out mostly lie below either cap. Shares are asked for where there is a strike, sickness only between the two caps, and a cost only where there is a choice.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -418,12 +418,18 @@
 
     def _suspect(self, endpoint: Endpoint) -> bool:
         """Whether a call is overdue and no answer came since: a hang, seen before its time-outs."""
+        if not endpoint.calls:
+            return False
         ok_us = endpoint.limit.ok_us
         return any(self.now - c.sent_us > c.overdue_us >= ok_us - c.sent_us for c in endpoint.calls)
 
     def _ill(self, endpoint: Endpoint) -> bool:
-        shares = [share.share(self.now) for share in self.trials]
-        return any(g.strikes > 1 or (g.strikes and shares[g.refused] > OUTAGE_MARK) for g in endpoint.guards)
+        for guard in endpoint.guards:  # mostly without a strike, and asked for often
+            if guard.strikes > 1:
+                return True
+            if guard.strikes and self.trials[guard.refused].share(self.now) > OUTAGE_MARK:
+                return True
+        return False
 
     def _fail(self, call: Call, guard: Guard, event: Outcome) -> None:
         """A strike, and a pause before the next trial that grows with the outage's age.
@@ -598,8 +604,8 @@
             if message.dest not in roomy:
                 heapq.heappop(ready)
                 continue
-            if (best := next(rest, None)) is not None:
-                heapq.heapreplace(ready, (best[0], at, best[1], best[2], rest))
+            if (after := next(rest, None)) is not None:
+                heapq.heapreplace(ready, (after[0], at, after[1], after[2], rest))
             else:
                 heapq.heappop(ready)
             dest = self.dests[message.dest]
@@ -607,7 +613,8 @@
             spots = [e for e in dest.ready() if not bound or e.zone == message.risky_zone]
             shared = [e for e in spots if e.host in opened and opened[e.host].messages < e.kind.batch]
             if rooms := shared or [e for e in spots if self._room(dest, e)]:
-                self._send(message, min(rooms, key=lambda e: self._cost(message, e)), opened)
+                best = rooms[0] if len(rooms) == 1 else min(rooms, key=lambda e: self._cost(message, e))
+                self._send(message, best, opened)
             elif not bound:
                 roomy.remove(message.dest)
         if self.calls_out < self.set.slots:  # else what is held waits for a slot and is looked at again
@@ -680,9 +687,14 @@
             return False
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
             return False
-        sick = any(e.ratio.share(self.now) > HIGH_MARK or self._ill(e) or self._suspect(e) for e in others)
-        cap = int((SICK_SHARE if sick else CAP_SHARE) * self.set.slots)
-        return sum(len(e.calls) for e in others) < max(1, cap)
+        out = sum(len(e.calls) for e in others)
+        if out < max(1, int(SICK_SHARE * self.set.slots)):  # sick or not
+            return True
+        if out >= max(1, int(CAP_SHARE * self.set.slots)):
+            return False
+        return not any(
+            e.ratio.share(self.now) > HIGH_MARK or self._ill(e) or self._suspect(e) for e in others
+        )
 
     def _cost(self, message: Message, endpoint: Endpoint) -> float:
         """Time to be served there, with its failures and its fee turned into time."""
