Let the ledger rely on the system's processor time, as the handover does already

The relay imports `resource` elsewhere without a way around it, so a ledger for platforms that lack it was dead code with a silenced type error. Memory and descriptors are still left out where there is no /proc; the tests hold that.

--- a/mallowlug/cost.py
+++ b/mallowlug/cost.py
@@ -10,17 +10,13 @@
 import asyncio
 import os
 import re
+import resource
 import time
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
-try:
-    import resource
-except ImportError:  # a platform without it: its figures are left out
-    resource = None  # type: ignore[assignment]
-
 TICK_S = 1.0  # s between looks at the loop's lag
 WINDOW_TICKS = 10  # looks that a window holds
 PROC = Path("/proc/self")
@@ -42,16 +38,16 @@
 class Used:
     """What the system says that the process has used; None: it does not say."""
 
-    user_us: int | None
-    system_us: int | None
+    user_us: int
+    system_us: int
     resident_bytes: int | None
     most_resident_bytes: int | None
     descriptors: int | None
 
     @property
-    def cpu_us(self) -> int | None:
+    def cpu_us(self) -> int:
         """Processor time, in the program and in the system for it."""
-        return None if self.user_us is None or self.system_us is None else self.user_us + self.system_us
+        return self.user_us + self.system_us
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +55,7 @@
     """The sums at one moment, from which a window is counted."""
 
     at_us: int
-    cpu_us: int | None
+    cpu_us: int
     ended: int
 
 
@@ -85,20 +81,20 @@
 
 def used(proc: Path = PROC) -> Used:
     """Ask the system; no call waits for anything, and the longest walks as many descriptors as are open."""
-    taken = resource.getrusage(resource.RUSAGE_SELF) if resource is not None else None
+    taken = resource.getrusage(resource.RUSAGE_SELF)
     memory = memory_of(proc)
     return Used(
-        user_us=None if taken is None else int(taken.ru_utime * 1e6),
-        system_us=None if taken is None else int(taken.ru_stime * 1e6),
+        user_us=int(taken.ru_utime * 1e6),
+        system_us=int(taken.ru_stime * 1e6),
         resident_bytes=memory.get("VmRSS"),
         most_resident_bytes=memory.get("VmHWM"),
         descriptors=descriptors_of(proc),
     )
 
 
-def per(amount: int | None, number: int) -> int | None:
+def per(amount: int, number: int) -> int | None:
     """An amount by message; nothing is known of it where none ended."""
-    return None if amount is None or number <= 0 else amount // number
+    return amount // number if number > 0 else None
 
 
 def figures(
@@ -106,13 +102,12 @@
 ) -> Iterator[tuple[str, int, str]]:
     """Each figure's name, value and kind: ``c`` counts from the process's start, ``g`` is as it is now."""
     cpu_us, ended = system.cpu_us, counted.ended
-    other = None if cpu_us is None else max(0, cpu_us - counted.module_us)
     rest = None if system.descriptors is None else system.descriptors - sum(counted.descriptors.values())
     told: list[tuple[str, int | None, str]] = [
         ("processor.user_us", system.user_us, "c"),
         ("processor.system_us", system.system_us, "c"),
         ("processor.module_us", counted.module_us, "c"),
-        ("processor.other_us", other, "c"),
+        ("processor.other_us", max(0, cpu_us - counted.module_us), "c"),
         ("processor.us_per_message", per(cpu_us, ended), "g"),
         ("memory.resident_bytes", system.resident_bytes, "g"),
         ("memory.most_resident_bytes", system.most_resident_bytes, "g"),
@@ -125,8 +120,7 @@
         ("journal.bytes_per_message", per(counted.journal_bytes, ended), "g"),
     ]
     if since is not None:
-        spent = None if cpu_us is None or since.cpu_us is None else cpu_us - since.cpu_us
-        in_window = ended - since.ended
+        spent, in_window = cpu_us - since.cpu_us, ended - since.ended
         told += [
             ("window.length_us", now_us - since.at_us, "g"),
             ("window.messages_ended", in_window, "g"),
@@ -170,8 +164,8 @@
         self._timer = loop.call_at(now_s + TICK_S, self._tick, now_s + TICK_S)
 
     def _mark(self) -> None:
-        taken = resource.getrusage(resource.RUSAGE_SELF) if resource is not None else None
-        cpu_us = None if taken is None else int((taken.ru_utime + taken.ru_stime) * 1e6)
+        taken = resource.getrusage(resource.RUSAGE_SELF)
+        cpu_us = int((taken.ru_utime + taken.ru_stime) * 1e6)
         self._marks.append(Mark(time.monotonic_ns() // 1000, cpu_us, self._counted().ended))
 
     def lines(self) -> list[str]:
