Ride out a lack of descriptors: close who waits, rest, and say nothing of hosts

A call that could not get a descriptor was told as a failed connect, which slows down calls to a host that is well.

A listener accepts by itself now, 64 connections a turn at most. Without descriptors it closes whoever waits with one it kept back, has the client that was silent longest make room, and rests for 0.1 s. A call takes the descriptor of the connection that stood idle longest; where none is idle its messages are told as not sent, and held for 250 ms.

Tests take descriptors away from a real relay and give them back, and count that a thousand connections of each bad kind (silent, half a request, a broken frame, a reset) leave none behind.

Not taken: a bound on accepted connections alone. It holds already; descriptors also run out by a limit that is lower than the configuration tells.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -200,7 +200,7 @@
 
     async def start(self, sock: socket.socket) -> None:
         """Begin to accept; the journal must have been replayed by then."""
-        self.listener = Listener(sock, lambda: Client(self))
+        self.listener = Listener(sock, lambda: Client(self), self._make_room)
         await self.listener.start()
 
     def leave(self) -> tuple[list[dict[str, Any]], list[int]]:
@@ -232,6 +232,11 @@
         if self.refusing:
             client.ending = True
 
+    def _make_room(self) -> None:
+        """No descriptor is left for a new one: the one that was silent longest goes, between its requests."""
+        if self.clients:
+            next(iter(self.clients)).end()
+
     def end_clients(self) -> None:
         """Close every connection between requests; new ones get answers and are closed behind them."""
         self.refusing = True
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -18,7 +18,7 @@
 import h11
 
 from mallowlug.discovery import HostList, Listed
-from mallowlug.http import FAULTS, Address, Connection, Headers
+from mallowlug.http import FAULTS, SHORT, Address, Connection, Headers
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
@@ -33,6 +33,7 @@
     "spent": Verdict.NOT_SENT,
 }
 OVER, DELIVERED = 410, 200
+SHORT_US = 250_000  # us that a message is held back for where this process has no descriptor left
 
 
 @dataclass(slots=True, eq=False)
@@ -166,6 +167,8 @@
     An answer that makes no sense is the host's failure: the connection brought it, so nothing cut that.
     """
     if not call.written:
+        if isinstance(error, OSError) and error.errno in SHORT:  # says nothing of the host
+            return Told(Verdict.NOT_SENT, wait_us=SHORT_US)
         return Told(Verdict.CONNECT_FAILED)
     if call.delivered:
         LOG.info("hosts: %s is delivered by its first line alone: %r", call.parts[0].id, error)
@@ -478,8 +481,23 @@
         if listed is None:
             raise ConnectionError("no longer listed")
         self.counts["opened"] += 1
+        try:
+            return await asyncio.wait_for(Connection.open(listed.dial), self._connect_s)
+        except OSError as error:
+            if error.errno not in SHORT or not self._give_way():
+                raise
         return await asyncio.wait_for(Connection.open(listed.dial), self._connect_s)
 
+    def _give_way(self) -> bool:
+        """Close the connection that stood idle longest, for its descriptor; False where none is idle."""
+        idle = [(items[0][0].kept_s, host) for host, items in self._idle.items() if items]
+        if not idle:
+            return False
+        host = min(idle)[1]
+        self.counts["gave way"] += 1
+        self._drop(*self._idle[host].pop(0))
+        return True
+
     def _take(self, host: str) -> Connection | None:
         """The idle connection that was used last, if the host has not ended it."""
         idle = self._idle.get(host, [])
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
 import re
 import socket
@@ -16,6 +17,7 @@
 MOST_KEPT = 96 * 1024  # bytes of an answer that are kept, for its first line and for a process that reads on
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
 READ = 64 * 1024
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # faults of this machine, not of a peer
 REST_S = 0.1  # s for the rest of an answer whose first line has said all that matters
 
 
--- a/mallowlug/listen.py
+++ b/mallowlug/listen.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import errno
+import logging
 import os
 import socket
 from collections.abc import Callable
 
-from mallowlug.http import Address
+from mallowlug.http import SHORT, Address
 
+LOG = logging.getLogger(__name__)
 BACKLOG = 512
+A_TURN = 64  # connections accepted in one turn of the loop, so that what is there already is served between
+REST_S = 0.1  # s without accepting once no descriptor is left
 LOOK_S = 0.05  # s between looks whether an address is free
 
 
@@ -39,28 +43,95 @@
 
 
 class Listener:
-    """Accepts at one socket until it is held still or closed."""
-
-    def __init__(self, sock: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
-        self.sock, self._factory = sock, factory
-        self._server: asyncio.Server | None = None
+    """Accepts at one socket until it is held still or closed.
+
+    asyncio's own server will not do: with no descriptor left it asks again as many times in a turn as its
+    backlog holds, with a traceback in the log for each, and whoever waits learns nothing.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        factory: Callable[[], asyncio.Protocol],
+        full: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.sock, self._factory, self._full = sock, factory, full
+        self._loop = asyncio.get_running_loop()
+        self._coming: set[asyncio.Task[object]] = set()  # connections that are coming up
+        self._timer: asyncio.TimerHandle | None = None
+        self._spare = -1  # a descriptor kept back for closing whom there is no other for; -1: none
 
     async def start(self) -> None:
         """Accept, also again after ``pause``."""
-        self._stop()
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._factory, sock=self.sock.dup(), backlog=BACKLOG)
+        self.sock.setblocking(False)
+        self.sock.listen(BACKLOG)
+        self._save()
+        self._resume()
 
     def pause(self) -> None:
         """Accept nobody; what is accepted already comes up with the loop's next turns."""
-        for sock in self._server.sockets if self._server is not None else ():
-            asyncio.get_running_loop().remove_reader(sock.fileno())
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.sock.fileno() >= 0:
+            self._loop.remove_reader(self.sock.fileno())
 
     def close(self) -> None:
         """Stop listening."""
-        self._stop()
+        self.pause()
         self.sock.close()
-
-    def _stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        if self._spare >= 0:
+            os.close(self._spare)
+            self._spare = -1
+
+    def _resume(self) -> None:
+        self._loop.add_reader(self.sock.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(A_TURN):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in SHORT:
+                    raise
+                self._turn_away(error)
+                return
+            sock.setblocking(False)
+            task = self._loop.create_task(self._bring_up(sock))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _bring_up(self, sock: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._factory, sock)
+        except OSError as error:
+            LOG.info("listen: a connection did not come up: %r", error)
+            sock.close()
+
+    def _turn_away(self, error: OSError) -> None:
+        """No descriptor is left: tell whoever waits by closing, and rest instead of asking again at once."""
+        self.pause()
+        if self._spare >= 0:
+            os.close(self._spare)
+            self._spare = -1
+            away = self._close_waiting()
+            self._save()
+            LOG.warning("listen: %d connections closed unread: %s", away, error.strerror)
+        self._full()
+        self._timer = self._loop.call_later(REST_S, self._resume)
+
+    def _close_waiting(self) -> int:
+        for number in range(BACKLOG):
+            try:
+                self.sock.accept()[0].close()
+            except OSError:
+                return number
+        return BACKLOG
+
+    def _save(self) -> None:
+        if self._spare < 0:
+            try:
+                self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+            except OSError:
+                self._spare = -1
--- /dev/null
+++ b/tests/test_listen.py
@@ -0,0 +1,185 @@
+"""Descriptors that run out, and connections of every bad kind by the thousand."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import resource
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mallowlug import listen
+from mallowlug.http import Connection
+from mallowlug.listen import Listener
+from mossfront.interface import Verdict
+from tests.test_hosts import Calls, serving
+from tests.world import World, enqueue, packed, soon
+
+KIND, AT_ONCE = 1000, 100  # connections of a bad kind, and of these at the same time
+
+
+def open_now(pid: int) -> set[int]:
+    """A process's descriptors."""
+    return {int(name) for name in os.listdir(f"/proc/{pid}/fd")}
+
+
+@asynccontextmanager
+async def no_descriptor_left(pid: int) -> AsyncIterator[None]:
+    """The process may open nothing more for a while."""
+    before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    free = next(number for number in range(4096) if number not in open_now(pid))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (free, before[1]))
+    try:
+        yield
+    finally:
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+
+
+async def test_without_descriptors_it_serves_on_closes_who_comes_and_recovers(world: World) -> None:
+    host = await world.add("h1")
+    client = await world.run()
+    await client.hand_in("m1")
+    await host.call(0)
+    assert world.process is not None
+    async with no_descriptor_left(world.process.pid):
+        newcomers = [await asyncio.open_connection(world.address, world.port) for _ in range(20)]
+        for reader, writer in newcomers:
+            assert await soon(reader.read()) == b""  # told at once, and nothing of theirs was read
+            writer.close()
+    client = await world.client()
+    assert await client.hand_in("m2") == b"+OK"
+    assert (await host.call(1)).ids == ["m2"]
+
+
+async def test_the_one_who_is_silent_longest_makes_room(world: World) -> None:
+    oldest = await world.run()
+    second = await world.client()
+    assert await second.command(b"PING") == b"+PONG"
+    assert world.process is not None
+    async with no_descriptor_left(world.process.pid):
+        _reader, writer = await asyncio.open_connection(world.address, world.port)
+        assert await soon(oldest.reader.read()) == b""
+        assert await second.command(b"PING") == b"+PONG"
+        writer.close()
+
+
+async def test_a_listener_without_descriptors_does_not_spin(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One more try and the closing of who waits, then rest: asyncio's own asks 512 times at each turn."""
+    tries, made = [0], list[str]()
+
+    class Full(socket.socket):
+        def accept(self) -> Any:
+            tries[0] += 1
+            raise OSError(errno.EMFILE, "none left")
+
+    monkeypatch.setattr(listen, "REST_S", 3600.0)
+    sock = Full()
+    sock.bind(("127.0.0.1", 0))
+    listener = Listener(sock, asyncio.Protocol, lambda: made.append("room"))
+    await listener.start()
+    with socket.create_connection(sock.getsockname()):
+        for _ in range(200):
+            await asyncio.sleep(0)
+        assert tries[0] == 2
+        assert made == ["room"]
+    listener.close()
+
+
+async def test_a_call_without_descriptors_takes_that_of_an_idle_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    host = await serving()
+    calls = Calls(host.port)
+    calls.send("m1")
+    await calls.outcome("m1")
+    assert calls.hosts.idle == 1
+    opened, failures = Connection.open, [OSError(errno.EMFILE, "none left")]
+
+    async def short(address: tuple[str, int]) -> Connection:
+        if failures:
+            raise failures.pop()
+        return await opened(address)
+
+    monkeypatch.setattr(Connection, "open", short)
+    monkeypatch.setattr(calls.hosts, "_take", lambda _host: None)  # another host's is the idle one
+    calls.send("m2")
+    assert (await calls.outcome("m2")).verdict is Verdict.OK
+    assert calls.hosts.counts["gave way"] == 1
+    host.stop()
+
+
+async def test_a_call_that_finds_no_descriptor_says_nothing_of_its_host(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Told as a failed connect, it would slow down calls to hosts that are well."""
+
+    async def short(_address: tuple[str, int]) -> Connection:
+        raise OSError(errno.EMFILE, "none left")
+
+    monkeypatch.setattr(Connection, "open", short)
+    calls = Calls(1)
+    calls.send("m1")
+    told = await calls.outcome("m1")
+    assert told.verdict is Verdict.NOT_SENT
+    assert told.wait_us > 0
+
+
+async def silent_close(world: World) -> None:
+    """Nothing is sent."""
+    _reader, writer = await asyncio.open_connection(world.address, world.port)
+    writer.close()
+    await writer.wait_closed()
+
+
+async def half(world: World) -> None:
+    """Half a request, then the end."""
+    reader, writer = await asyncio.open_connection(world.address, world.port)
+    writer.write(packed(*enqueue("half"))[:40])
+    writer.write_eof()
+    await soon(reader.read())
+    writer.close()
+
+
+async def broken(world: World) -> None:
+    """A frame that is none; the relay answers and parts."""
+    reader, writer = await asyncio.open_connection(world.address, world.port)
+    writer.write(b"nonsense\r\n")
+    assert (await soon(reader.read())).startswith(b"-ERR")
+    writer.close()
+
+
+async def reset(world: World) -> None:
+    """A reset in the middle of a request."""
+    _reader, writer = await asyncio.open_connection(world.address, world.port)
+    writer.write(packed(*enqueue("half"))[:40])
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("kind", [silent_close, half, broken, reset])
+async def test_a_thousand_bad_connections_leave_no_descriptor(
+    world: World, kind: Callable[[World], Awaitable[None]]
+) -> None:
+    client = await world.run()
+    assert world.process is not None
+    pid = world.process.pid
+    await asyncio.sleep(0)
+    before = len(open_now(pid))
+    for _ in range(KIND // AT_ONCE):
+        await asyncio.gather(*(kind(world) for _ in range(AT_ONCE)))
+
+    async def back() -> None:
+        while len(open_now(pid)) > before:
+            await asyncio.sleep(0.02)
+
+    await soon(back())
+    assert await client.command(b"PING") == b"+PONG"
+    assert Path(f"/proc/{pid}").exists()
