Bound what a long life would pile up: keys, rests, endpoints and partners that left

Keys of an order and their rests were kept for good, one empty list and one number for each key ever used; so were endpoints that left the list, which every look at a partner's endpoints then passed, partners that no list ever named, and in the network code the names of hosts and the waits of routes.

A key goes with its last message. Every five seconds rests that are over, partners without endpoints or messages, and all but 64 endpoints that left are forgotten; one that comes back later is taken for new, and so for cold. 4,096 names of hosts stay known to operators.

100,000 messages leave no more than 10,000 did, which fails without this.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -34,6 +34,8 @@
 }
 OVER, DELIVERED = 410, 200
 SHORT_US = 250_000  # us that a message is held back for where this process has no descriptor left
+MOST_EVER = 4096  # hosts that are remembered, so that operators may name one that left
+MOST_WAITS = 256  # routes with a wait, above which those that are over are dropped
 
 
 @dataclass(slots=True, eq=False)
@@ -195,7 +197,7 @@
         self._most_idle, self._settled = most_idle, settled
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
-        self.ever: set[str] = set()  # every host that any list has named
+        self.ever: dict[str, None] = {}  # the hosts that lists have named, the latest of them last
         self._banned: set[str] = set()  # by operators
         self.written = 0  # messages whose calls were written whole
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
@@ -211,7 +213,7 @@
                 self.close_idle(host)
         for listed in news.hosts:
             host = listed.entry.host
-            self.ever.add(host)
+            self._named(host)
             known = self._listed.get(host)
             if listed.entry.listing is Listing.GONE:
                 self._listed.pop(host, None)
@@ -220,6 +222,12 @@
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
                 self.close_idle(host)
 
+    def _named(self, host: str) -> None:
+        self.ever.pop(host, None)
+        self.ever[host] = None
+        if len(self.ever) > MOST_EVER:
+            del self.ever[next(iter(self.ever))]
+
     def ban(self, host: str, banned: bool) -> None:
         """Follow an operator at once, as the list is followed."""
         (self._banned.add if banned else self._banned.discard)(host)
@@ -442,6 +450,8 @@
             route = self._route(call.host)
             until = time.monotonic() + wait_us / 1e6
             self._waits[route] = max(self._waits.get(route, 0.0), until)
+            if len(self._waits) > MOST_WAITS:
+                self._waits = self.waits
         if len(parts) > 1 and answer.status_code == DELIVERED:
             self._settle_batch(call, parts, await connection.body(MOST_ANSWER), wait_us, report)
         else:
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -190,7 +190,7 @@
         """Take over from a process of any version, before the start."""
         self._over.update(dict.fromkeys(heard.over))
         self._hosts.heed(heard.waits)
-        self._hosts.ever.update(heard.ever)
+        self._hosts.ever.update(dict.fromkeys(heard.ever))
 
     def go_on(self, memory: Memory, socks: Iterator[socket.socket]) -> None:
         """Start with what a process of the same layout has left, in place of a fresh module."""
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -51,6 +51,7 @@
 LOWERED = 0.75  # a told rate under so much of the last one is a lowered limit, and no noise
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
+MOST_GONE = 64  # endpoints that left the list and are still known
 RISKS = {effect: float(number) for number, effect in enumerate(Effect)}  # the less a repeat does, the sooner
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
@@ -103,7 +104,8 @@
             elif isinstance(event, Withdrawn) and event.id in self.messages:
                 self._close(self.messages[event.id])
         while self.due and self.due[0][0] <= now_us:
-            self.look[heapq.heappop(self.due)[1]] = None
+            if (number := heapq.heappop(self.due)[1]) in self.dests:
+                self.look[number] = None
         self._expire()
         if self.set.may_cancel and self._short():
             self._cut_short()
@@ -112,6 +114,7 @@
         if now_us >= self.status_us:
             self.status_us = now_us + STATUS_US
             self._report()
+            self._forget()
         if 0 <= self.ask_us <= now_us:  # a directory that only answers; an unanswered ask is made again
             self.actions.append(Subscribe())
             self.ask_us = now_us + max(2_000_000, self.set.ask_within_us // 2)
@@ -121,6 +124,19 @@
             self.actions.append(Wake(self.wake_us - now_us))
         return self.actions
 
+    def _forget(self) -> None:
+        """Let go of what a long life would pile up: rests that are over, endpoints and partners that left.
+
+        An endpoint that comes back after so many others is taken for a new one, and so for a cold one.
+        """
+        self.rests = {key: until_us for key, until_us in self.rests.items() if until_us > self.now}
+        gone = [e for e in self.endpoints.values() if e.listing is Listing.GONE and not e.calls]
+        for endpoint in gone[: max(0, len(gone) - MOST_GONE)]:
+            del self.endpoints[endpoint.host], self.dests[endpoint.dest].endpoints[endpoint.host]
+        wanted = self.look.keys() | {message.dest for message in self.messages.values()}
+        for number in [n for n, dest in self.dests.items() if not dest.endpoints and n not in wanted]:
+            del self.dests[number]
+
     def _report(self) -> None:
         """A line for the people on call about each destination that holds messages: what holds them up."""
         for number, dest in self.dests.items():
@@ -529,6 +545,8 @@
         if queue := self.turns.get(message.key):
             queue.remove(message)
             self.look.update({other.dest: None for other in queue[:1]})
+            if not queue:
+                del self.turns[message.key]
 
     def _record(self, message: Message, endpoint: Endpoint | None = None) -> Record:
         """What a call takes there, else anywhere, else a guess: a quarter of the aim, spread as wide."""
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,90 @@
+"""Tables that could grow for a day stay within their bounds."""
+
+from __future__ import annotations
+
+import heapq
+
+from mallowlug import hosts
+from mallowlug.discovery import HostList, Listed
+from mossfront import interface as api
+from mossfront.brain import MOST_GONE, Relay
+from tests.support import SAFE, SECOND, TURN, arrival, entry, roster, sends, settings
+from tests.test_hosts import Calls
+
+
+def sizes(relay: Relay) -> dict[str, int]:
+    """How much a relay keeps, by table; what belongs to others is counted with them."""
+    tables = "messages endpoints dests banned turns rests norms crowds look due ends"
+    told = {name: len(getattr(relay, name)) for name in tables.split()}
+    told["records"] = sum(len(e.records) for e in relay.endpoints.values())
+    told["held"] = sum(len(dest.held) for dest in relay.dests.values())
+    told["lanes"] = sum(len(dest.lanes) for dest in relay.dests.values())
+    told["of dests"] = sum(len(dest.endpoints) for dest in relay.dests.values())
+    told["calls"] = sum(len(e.calls) for e in relay.endpoints.values())
+    return told
+
+
+def test_a_hundred_thousand_messages_leave_no_more_than_ten_thousand() -> None:
+    """Keys of an order that are used once each, and partners that no list names, could pile up."""
+    relay = Relay(settings(hold_cap=200), 1)
+    relay.step(0, [roster(*(entry(f"h{n}", n % 4) for n in range(8)))])
+    now_us, known = 0, dict[int, dict[str, int]]()
+    done: list[tuple[int, int, api.Send]] = []
+    for number in range(100_000):
+        now_us += 10_000  # a hundred a second
+        cls = TURN if number % 2 else SAFE
+        events: list[api.Event] = [arrival(f"m{number}", cls, number % 5, 2 * SECOND, f"k{number}")]
+        if number % 500 == 0:
+            events.append(arrival(f"n{number}", SAFE, 1000 + number, SECOND))
+        while done and done[0][0] <= now_us:
+            send = heapq.heappop(done)[2]
+            events.append(api.Outcome(send.id, 0, send.host, api.Verdict.OK, 30_000, True))
+        for at, send in enumerate(sends(relay.step(now_us, events))):
+            heapq.heappush(done, (now_us + 30_000, 10 * number + at, send))
+        if number + 1 in (10_000, 100_000):
+            known[number + 1] = sizes(relay)
+    early, late = known[10_000], known[100_000]
+    assert sum(late.values()) <= sum(early.values()) + 50, (early, late)
+    assert late["ends"] < 1_000
+    assert late["rests"] + late["turns"] + late["dests"] < 700
+
+
+def test_endpoints_that_left_are_forgotten_but_for_the_latest() -> None:
+    """As many as a day of replacements brings; those listed stay, and so does one with a call out."""
+    relay = Relay(settings(), 1)
+    relay.step(0, [roster(entry("stays"), entry("h0"))])
+    relay.step(5_000, [arrival("m1"), arrival("m2")])
+    busy = {call.endpoint.host for e in relay.endpoints.values() for call in e.calls}
+    for number in range(1, 2_000):
+        gone = entry(f"h{number - 1}", listing=api.Listing.GONE)
+        relay.step(number * SECOND, [roster(gone, entry(f"h{number}"), kind=api.RosterKind.CHANGES)])
+    assert len(relay.endpoints) <= MOST_GONE + 8
+    assert {"stays", "h1999", *busy} <= relay.endpoints.keys()
+    assert relay.known == 2
+    assert relay.dests[1].endpoints == relay.endpoints
+
+
+async def test_hosts_remember_so_many_names_and_waits() -> None:
+    calls = Calls(1)
+    for number in range(2 * hosts.MOST_EVER):
+        gone = entry(f"x{number}", listing=api.Listing.GONE)
+        calls.hosts.apply(HostList(2, False, (Listed(gone, ("127.0.0.1", 1)),)))
+    calls.list(1)
+    assert len(calls.hosts.ever) == hosts.MOST_EVER
+    assert "h1" in calls.hosts.ever
+    assert "x0" not in calls.hosts.ever
+
+
+def test_a_partner_without_endpoints_is_kept_as_long_as_a_message_is_out() -> None:
+    """Its endpoint went over to another partner under a call; the call's outcome is still met."""
+    relay = Relay(settings(), 1)
+    relay.step(0, [roster(entry("h1"))])
+    send = sends(relay.step(5_000, [arrival("m1")]))[0]
+    relay.step(10_000, [roster(entry("h1", dest=2))])
+    for second in (6, 12):
+        relay.step(second * SECOND, [api.TimerDue()])
+    assert 1 in relay.dests
+    relay.step(13 * SECOND, [api.Outcome(send.id, 0, send.host, api.Verdict.RESET, SECOND)])
+    relay.step(19 * SECOND, [api.TimerDue()])
+    relay.step(25 * SECOND, [api.TimerDue()])
+    assert 1 not in relay.dests
