Refuse bursts of large requests before they fill the memory

Two hundred clients that each have most of a 64 KiB request under way held 12 MB of it, and the bodies of held messages were bounded by the disk alone, which a deployment may set far above the memory. Unfinished requests of all clients together, and the bodies of held messages, may each come to an eighth of `memory_mb` now (32 MB where it is not told). Whoever goes past is told -BUSY with the usual wait and parted from; what is small goes on.

Tests with real processes: of two hundred halves of large requests all that would come to more than 4 MB are refused, and the process stays under 32 MB; with 4 MB and a large disk the ninth body of 60 kB is refused.

Not taken: to stop reading from clients while much is unfinished. All of them could stand still with none able to end.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -61,7 +61,7 @@
         given = await succeed(self.lock, self._path, self._layout)
         self.journal = Journal(cfg.state, cfg.disk_bytes)
         self.driver = Driver(cfg, self.journal, self._crashed)
-        self.server = Server(self.driver, cfg.sockets // 2)
+        self.server = Server(self.driver, cfg.sockets // 2, cfg.memory_bytes)
         if given is None:
             self.driver.start()
         else:
--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -20,6 +20,7 @@
 MOST_COMMAND = MOST_BODY + 4096  # bytes of one request; more without an end is no request
 TOKEN = re.compile(rb"[!-~]{1,128}")  # what can stand in a header and in a batch's line
 NUMBER = re.compile(rb"[0-9]{1,12}")
+UNFINISHED_SHARE = 0.125  # of the memory: requests that are coming in, of all clients together
 PATIENCE_S = 2.5  # s for a whole request: a connection without one may go after 2 s, and has to after 3 s
 LINGER_S = 0.4  # s that a peer which was told of its error may go on sending before it is cut off
 MOST_DEST = 65535  # no list names a destination beyond; a message for one would owe an end and find no host
@@ -80,6 +81,7 @@
         self._server = server
         self._data = bytearray(data)  # what came since the last whole request
         self._least = 0  # bytes of it before which no request can be whole
+        self._kept = 0  # bytes of it that the server has counted
         self._by_s = by_s  # the loop's time until which one has to come; None: the usual patience
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
@@ -95,6 +97,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._rest()
+        self._count(0)
         self._server.clients.pop(self, None)
 
     def pause_writing(self) -> None:
@@ -128,11 +131,21 @@
             self._answer(bytes(self._data))
         if len(self._data) > MOST_COMMAND:
             raise resp.ProtocolError("a request without end")
+        self._count(len(self._data))
+        if self._data and self._server.unfinished_bytes > self._server.most_unfinished_bytes:
+            LOG.warning("clients: a request was refused: unfinished ones come to too many bytes")
+            self._part(self._server.busy)
+            return
         if self._data and self._timer is None:
             self._wait()
         if self.ending and not self._data:
             self._transport.close()
 
+    def _count(self, kept: int) -> None:
+        """Tell the server how much of an unfinished request is kept here."""
+        self._server.unfinished_bytes += kept - self._kept
+        self._kept = kept
+
     def _answer(self, data: bytes) -> None:
         """Answer what is whole, and keep the rest."""
         assert self._transport is not None
@@ -178,6 +191,7 @@
         assert self._transport is not None
         self._rest()
         self._parted, self._data = True, bytearray()
+        self._count(0)
         self._transport.write(line)
         self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
@@ -192,8 +206,10 @@
 class Server:
     """Listens for clients and answers their requests."""
 
-    def __init__(self, driver: Driver, most: int) -> None:
+    def __init__(self, driver: Driver, most: int, memory_bytes: int) -> None:
         self._driver, self.most = driver, most
+        # A burst of large requests is refused as it comes in: held together they could fill the memory.
+        self.unfinished_bytes, self.most_unfinished_bytes = 0, int(memory_bytes * UNFINISHED_SHARE)
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one heard of last stands last
         self.listener: Listener | None = None
         self.refusing = False
@@ -265,5 +281,10 @@
             return b"-ERR unknown class\r\n"
         if self.refusing or not self._driver.accept(handed, body):
             self._driver.refused(handed.cls)
-            return b"-BUSY %d\r\n" % self._driver.busy_ms
+            return self.busy
         return b"+OK\r\n"
+
+    @property
+    def busy(self) -> bytes:
+        """The refusal that tells when to come again."""
+        return b"-BUSY %d\r\n" % self._driver.busy_ms
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -13,6 +13,8 @@
 from mossfront.drill import settings_of, whole
 from mossfront.interface import Settings
 
+LEAST_MEMORY_MB = 32  # of any deployment: what a relay that is told no limit keeps to
+
 
 class ConfigError(ValueError):
     """The deployment told something that cannot be used."""
@@ -31,6 +33,7 @@
     connect_timeout_us: int
     disk_bytes: int
     sockets: int
+    memory_bytes: int
     known: HostList
     admin: Address | None = None  # where operators call; None: nowhere
     passed_socket: int | None = None  # the descriptor on which clients come; None: listen by oneself
@@ -104,6 +107,7 @@
             connect_timeout_us=whole(pairs, "allowed.connect_timeout_us", 1_000_000),
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
             sockets=int(limits.get("sockets", 1024)),
+            memory_bytes=int(float(limits.get("memory_mb", LEAST_MEMORY_MB)) * 1_000_000),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
             passed_socket=int(passed) if (passed := environ.get("ROUTER_PASSED_SOCKET")) else None,
             folder=Path(environ.get("TMPDIR") or environ["ROUTER_STATE"]),
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -32,6 +32,7 @@
 
 LOG = logging.getLogger(__name__)
 STATUS_S = 5.0  # s between log lines on connections
+BODIES_SHARE = 0.125  # of the memory: bodies of held messages, which the journal keeps a second time
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 
 
@@ -148,6 +149,7 @@
         self._watch = Watch(config.discovery, config.known.seq, self._listed, self._unlisted)
         self._notices = Notices(config.discovery, self._confirmed)
         self._held: dict[str, Held] = {}  # messages that owe their end to the module
+        self._bodies_bytes, self._most_bodies_bytes = 0, int(config.memory_bytes * BODIES_SHARE)
         self._over: OrderedDict[str, None] = OrderedDict()
         self._ended: Counter[tuple[str, str]] = Counter()  # messages by class and how they ended
         self._inbox: list[api.Event] = []
@@ -298,15 +300,28 @@
             return True
         if len(self._held) >= self._set.hold_cap:
             return False
+        if self._bodies_bytes + len(body) > self._most_bodies_bytes:
+            LOG.warning("a message was refused: held bodies come to %d bytes", self._bodies_bytes)
+            return False
         try:
             self._journal.accept(handed.id, handed.fields, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error)
             return False
-        self._held[handed.id] = Held(handed, body)
+        self._hold(handed, body)
         self._post(self._arrival(handed, self.clock()))
         return True
 
+    def _hold(self, handed: Handed, body: bytes, attempts: int = 0) -> None:
+        self._held[handed.id] = Held(handed, body, attempts)
+        self._bodies_bytes += len(body)
+
+    def _let_go(self, ref: str) -> Held | None:
+        """A message that owes nothing more; None where it owed nothing."""
+        if (held := self._held.pop(ref, None)) is not None:
+            self._bodies_bytes -= len(held.body)
+        return held
+
     def _arrival(self, handed: Handed, now_us: int, **former: Any) -> api.Arrival:
         left_us = handed.deadline_us - now_us
         return api.Arrival(handed.id, handed.dest, handed.cls, left_us, handed.tenant, handed.order, **former)
@@ -329,7 +344,7 @@
             self._notices.send(Notice(message.id, "dead"))
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
-        self._held[message.id] = Held(handed, message.body, attempts)
+        self._hold(handed, message.body, attempts)
         if known:
             return
         former: dict[str, Any] = {"attempts": attempts}
@@ -383,7 +398,7 @@
 
     def _end(self, ref: str, delivered: bool) -> None:
         """Nothing more is owed: it was delivered, or its endpoint says that it is over."""
-        if (held := self._held.pop(ref, None)) is None:
+        if (held := self._let_go(ref)) is None:
             return
         if (late_us := self.clock() - held.handed.deadline_us) > 0:
             LOG.info("attempt: %s was over %d ms after its time", ref, late_us // 1000)
@@ -444,7 +459,7 @@
 
     def _give_up(self, notice: Notice) -> None:
         """The module's final answer goes out at once, and again until it is confirmed."""
-        if (held := self._held.pop(notice.ref, None)) is None:
+        if (held := self._let_go(notice.ref)) is None:
             return
         handed = held.handed
         LOG.info(
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
+from pathlib import Path
 from typing import cast
 
 import pytest
 
 from mallowlug import clients, resp
 from mallowlug.relay import Driver
-from tests.world import BOUND_S, packed, soon
+from tests.world import BOUND_S, Client, World, enqueue, packed, silent, soon
 
 BROKEN = b"nonsense\r\n"
 
@@ -35,7 +36,7 @@
 @pytest.fixture
 def server() -> clients.Server:
     """A server whose driver is never asked: no request here can be read."""
-    return clients.Server(cast(Driver, None), 10)
+    return clients.Server(cast(Driver, None), 10, 32_000_000)
 
 
 async def test_what_comes_behind_a_broken_frame_resets_nothing(
@@ -79,3 +80,36 @@
     assert right.recv(100) == b"+60000\r\n"
     client.end()
     right.close()
+
+
+async def test_a_burst_of_large_requests_is_refused_before_it_fills_the_memory(world: World) -> None:
+    """Three hundred halves of large requests would come to more than half of the least memory."""
+    world.memory_mb = 32
+    await world.add("h1")
+    client = await world.run()
+    data = packed(*enqueue("large", body=bytes(60_000)))
+    halves = [await world.client() for _ in range(200)]
+
+    async def begin(half: Client) -> bytes:
+        half.writer.write(data[:-1])
+        return (await soon(half.reader.readline())).rstrip()
+
+    answers = await asyncio.gather(*map(begin, halves))
+    refused = [answer for answer in answers if answer.startswith(b"-BUSY")]
+    assert len(refused) >= 200 - 32_000_000 * clients.UNFINISHED_SHARE / 60_000 - 1
+    assert all(answer.startswith((b"-BUSY", b"-ERR no whole request")) for answer in answers)
+    assert world.process is not None
+    status = Path(f"/proc/{world.process.pid}/status").read_text()
+    most_kb = int(status.partition("VmHWM:")[2].split()[0])
+    assert most_kb * 1024 < 32_000_000
+    assert await client.hand_in("m1") == b"+OK"  # and what is small goes on
+
+
+async def test_bodies_that_are_held_are_bounded_by_the_memory(world: World) -> None:
+    world.memory_mb, world.disk_mb = 4, 30.0
+    await world.add("h1", silent)
+    client = await world.run()
+    answers = [await client.command(*enqueue(f"m{n}", body=bytes(60_000))) for n in range(12)]
+    assert answers[:8] == [b"+OK"] * 8
+    assert answers[8:] == [b"-BUSY 2000"] * 4
+    assert await client.hand_in("small") == b"+OK"
--- a/tests/world.py
+++ b/tests/world.py
@@ -301,7 +301,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.known: list[dict[str, Any]] = []
         self.settings = settings_json()
-        self.disk_mb, self.sockets = 3.0, 1024
+        self.disk_mb, self.sockets, self.memory_mb = 3.0, 1024, 192
         self.admin_port = 0  # where operators call; 0: nowhere
         self.passed: socket.socket | None = None  # the clients' socket, where the platform holds it
         self.processes: list[asyncio.subprocess.Process] = []
@@ -358,12 +358,13 @@
 
     def environment(self) -> dict[str, str]:
         """What the deployment tells the relay."""
+        limits = {"memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb}
         config = {
             "name": "n0",
             "listen": f"{self.address}:{self.port}",
             "discovery": f"127.0.0.1:{self.directory.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, **limits},
             "known": {"seq": 0, "whole": True, "hosts": self.known},
             "settings": self.settings,
         }
