Test that a compaction without a descriptor is made later and loses nothing

Of the places where descriptors run out, accept and connect had tests and the opening of a file had none. The code already kept the old log; the test holds that with what was taken on, and that the next compaction does its work.

--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
 from dataclasses import asdict
 from pathlib import Path
 
@@ -210,3 +212,27 @@
     handed = Handed("m1", 3, "keyed", 123, "t", "", "k")
     assert handed.fields == asdict(handed)
     assert Handed(**json.loads(json.dumps(handed.fields))) == handed
+
+
+def test_a_compaction_that_finds_no_descriptor_is_made_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old log goes on; nothing that was taken on is lost, and the next compaction does its work."""
+    journal, opened, tried = Journal(tmp_path, DISK), os.open, list[str]()
+
+    def short(path: Path, *args: int) -> int:
+        tried.append(str(path))
+        raise OSError(errno.EMFILE, "none left")
+
+    monkeypatch.setattr(os, "open", short)
+    accept(journal, "kept")
+    for number in range(200):
+        accept(journal, f"m{number}", size=500)
+        journal.over(f"m{number}")
+    assert any(name.endswith("journal.new") for name in tried)
+    grown = (tmp_path / "journal").stat().st_size
+    monkeypatch.setattr(os, "open", opened)
+    accept(journal, "last", size=500)
+    assert (tmp_path / "journal").stat().st_size < grown
+    journal.close()
+    assert set(reopened(tmp_path).recovered) == {"kept", "last"}
