Move the scripted stand-ins out of the tests, into a package of their own

Change: tests/world.py is standins/scripted.py now, unchanged but for its first line; tests and tools/cost import it from there.

Measured: the 403 tests pass as before; no file outside of tests names tests.

--- a/tests/world.py
+++ b/standins/scripted.py
@@ -1,4 +1,4 @@
-"""The relay's surroundings on loopback sockets: scripted hosts, a scripted directory and a client.
+"""Surroundings that follow a script, on loopback sockets: hosts, a directory, a client, one relay.
 
 Nothing here waits for a time: a test awaits what it wants to see, under one generous bound.
 """
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest_asyncio
 
-from tests.world import World
+from standins.scripted import World
 
 
 @pytest_asyncio.fixture
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.world import World, silent, soon
+from standins.scripted import World, silent, soon
 
 GET = b"GET /admin/health HTTP/1.1\r\nHost: r\r\n\r\n"
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,7 +11,7 @@
 
 from mallowlug import clients, resp
 from mallowlug.relay import Driver
-from tests.world import BOUND_S, Client, World, enqueue, packed, silent, soon
+from standins.scripted import BOUND_S, Client, World, enqueue, packed, silent, soon
 
 BROKEN = b"nonsense\r\n"
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -12,7 +12,7 @@
 
 from mallowlug import cost
 from mallowlug.cost import Counted, Ledger, Mark, Used, figures
-from tests.world import World, silent, soon
+from standins.scripted import World, silent, soon
 
 COUNTED = Counted(ended=10, module_us=300, journal_bytes=2_000, journal_writes=30, descriptors={"clients": 4})
 USED = Used(user_us=800, system_us=200, resident_bytes=5_000, most_resident_bytes=9_000, descriptors=11)
--- a/tests/test_cost_tool.py
+++ b/tests/test_cost_tool.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.world import ROOT
+from standins.scripted import ROOT
 from tools.cost import table
 from tools.cost.__main__ import main
 from tools.cost.play import Checkout, Play, checkout, played
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,7 +12,7 @@
 import pytest
 
 from mallowlug import handover
-from tests.world import Client, World, enqueue, packed, silent, soon
+from standins.scripted import Client, World, enqueue, packed, silent, soon
 
 
 @pytest.fixture
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -17,7 +17,7 @@
 from mallowlug.hosts import Call, Hosts, Left, Part, Told, report_of, verdict_of, wait_of
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
-from tests.world import HttpServer, Request, delivered, silent, soon
+from standins.scripted import HttpServer, Request, delivered, silent, soon
 
 KIND = Kind("banks", apart=True, batch=10)
 
--- a/tests/test_listen.py
+++ b/tests/test_listen.py
@@ -19,8 +19,8 @@
 from mallowlug.http import Connection
 from mallowlug.listen import Listener
 from mossfront.interface import Verdict
+from standins.scripted import World, enqueue, packed, soon
 from tests.test_hosts import Calls, serving
-from tests.world import World, enqueue, packed, soon
 
 KIND, AT_ONCE = 1000, 100  # connections of a bad kind, and of these at the same time
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 import pytest
 
 from mallowlug import clients, discovery
-from tests.world import Request, World, delivered, enqueue, packed, silent, soon
+from standins.scripted import Request, World, delivered, enqueue, packed, silent, soon
 
 
 async def test_a_message_goes_on_unchanged(world: World) -> None:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from mallowlug.resp import ProtocolError, least_size, request_at
-from tests.world import packed
+from standins.scripted import packed
 
 MOST = 1000
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -13,7 +13,7 @@
 from mallowlug.__main__ import serve
 from mallowlug.journal import Journal
 from mossfront.brain import Relay as Module
-from tests.world import ROOT, World, delivered, silent, soon
+from standins.scripted import ROOT, World, delivered, silent, soon
 
 
 async def test_a_held_message_is_delivered_by_the_next_life(world: World) -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -8,7 +8,7 @@
 import tomllib
 from pathlib import Path
 
-from tests.world import ROOT
+from standins.scripted import ROOT
 
 UNWANTED = ("_ssl", "_hashlib", "http.client", "email", "multiprocessing", "unittest", "tests", "tools")
 
--- a/tools/cost/play.py
+++ b/tools/cost/play.py
@@ -1,6 +1,6 @@
 """One play: a relay process of one checkout, the stand-ins around it, and what it used up in a window.
 
-Clients, endpoints and discovery are those of the tests' world. They run in the tool's own process, so that
+Clients, endpoints and discovery are scripted stand-ins. They run in the tool's own process, so that
 their cost and the relay's are told apart by the system's accounting.
 """
 
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.world import Client, Request, World, delivered, enqueue, packed, settings_json
+from standins.scripted import Client, Request, World, delivered, enqueue, packed, settings_json
 from tools.cost.reading import LOOK_S, CostError, Figures, Probe, Strace, Taken, taken
 
 READY_S = 20.0  # s for the first answer of a relay
@@ -46,7 +46,7 @@
 
 
 class Surroundings(World):
-    """The tests' world around a relay that is started as the platform would start it."""
+    """The scripted world around a relay that is started as the platform would start it."""
 
     def __init__(self, folder: Path, source: Checkout, more: dict[str, str]) -> None:
         super().__init__(folder)
--- a/tools/cost/scenarios.py
+++ b/tools/cost/scenarios.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from mallowlug.journal import Journal, JournalFullError
-from tests.world import Request, packed, silent
+from standins.scripted import Request, packed, silent
 from tools.cost.play import Play, Scenario
 from tools.cost.reading import taken
 
