--- /dev/null
+++ b/fleetlab/echo.py
@@ -0,0 +1,68 @@
+"""The lab's plain program, ``python -m fleetlab.echo CONFIG``: processes that ask each other, to try links.
+
+Each listens at its address, asks every other ten times a second over a new connection, and notes when it
+was answered, one line of JSON an answer, in ``heard.jsonl`` in its state folder.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+PORT = 7000
+EVERY_S, PATIENCE_S = 0.1, 0.2
+
+
+async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Say what was said."""
+    try:
+        writer.write(await reader.readline())
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+
+
+async def ask(own: str, other: str) -> bool:
+    """Whether another process answers."""
+    host, port = other.rsplit(":", 1)
+    word = f"{own}\n".encode()
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(word)
+                return await reader.readline() == word
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        return False
+
+
+async def run(config: dict[str, Any]) -> None:
+    """Answer and ask until the process ends."""
+    server = await asyncio.start_server(answer, config["address"], PORT)
+    loop = asyncio.get_running_loop()
+    async with server:
+        with (Path(config["state"]) / "heard.jsonl").open("a", buffering=1) as heard:
+            while True:
+                for other in config["other"]:
+                    if await ask(str(config["number"]), other):
+                        heard.write(json.dumps({"at_s": loop.time(), "other": other}) + "\n")
+                await asyncio.sleep(EVERY_S)
+
+
+def main() -> int:
+    """Read the configuration and run."""
+    with open(sys.argv[1], "rb") as file:
+        config = tomllib.load(file)
+    asyncio.run(run(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -160,7 +160,11 @@
             reset(self.transport)
         else:
             self._told_end = True
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:  # its peer has reset it, and the loop has not seen that yet
+                reset(self.transport)
+                return
             self._close_whole()
 
     def _close_whole(self) -> None:
--- a/standins/records.py
+++ b/standins/records.py
@@ -159,6 +159,7 @@
     phase: str  # begin, end
     on: list[str]
     note: str = ""
+    to: list[str] = []  # links: their other ends; none named: all
 
 
 class Process(Record, frozen=True, tag="process"):
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -10,11 +10,13 @@
 import sys
 import time
 from collections.abc import Callable
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from fleetlab import runs, scenario
 from fleetlab.checks import Run
 from fleetlab.fleet import MOST_LOG, Fleet, FleetError, Limits
 from standins import records
@@ -190,3 +192,49 @@
     """Wait for something."""
     while not done():
         await asyncio.sleep(0.01)
+
+
+def test_a_further_program_runs_behind_links(tmp_path: Path) -> None:
+    """Two processes of one module reach each other through the lab: not while one is dead, nor over a cut."""
+    played = scenario.read(PROGRAMS, "two")
+    result = runs.play(runs.planned("two", played, 1), tmp_path / "run", lambda _: None)
+    assert result.ok, result.checks
+    run = runs.opened(tmp_path / "run")
+    assert [len(run.lives[name]) for name in ("peer0", "peer1")] == [2, 1]
+    heard = [
+        json.loads(line)["at_s"]
+        for line in (tmp_path / "run/processes/peer1/state/heard.jsonl").read_text().splitlines()
+    ]
+    gaps = sorted((after - before, before) for before, after in pairwise(heard))
+    # Ten a second, but for the half second of the kill and the one of the cut, in this order.
+    assert gaps[-3][0] < 0.4 < gaps[-2][0]
+    assert len(heard) > 10
+
+
+PROGRAMS = """
+about = "two programs"
+seconds = 5
+relays = 1
+relay = "plain"
+[[program]]
+name = "peer"
+module = "fleetlab.echo"
+count = 2
+config = '''
+address = "{address}"
+number = {number}
+state = "{state}"
+other = ["{link:peer0:7000}"]
+'''
+[[fault]]
+kind = "kill"
+at_s = 1
+for_s = 0.6
+on = ["peer0"]
+[[fault]]
+kind = "cut"
+at_s = 3
+for_s = 0.6
+on = ["peer1"]
+to = ["peer0"]
+"""
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -269,3 +270,26 @@
     assert await send(datagrams, 20) == []
     link.lift(FAULT)
     assert await send(datagrams, 20) == list(range(20))
+
+
+async def test_an_end_for_a_side_that_is_reset_meanwhile_breaks_nothing(ways: Ways) -> None:
+    """A clean end that was held back by a cut meets a caller that has reset its connection."""
+    echo, link, _ = ways
+    _, writer = await called(link)
+    writer.write(b"x")
+    await until(lambda: echo.came)
+    link.apply(FAULT, CUT, "back")
+    writer.write_eof()
+    await until(lambda: echo.ends == ["clean"])
+    reset_by_peer(writer)
+    link.lift(FAULT)
+    reader, writer = await called(link)
+    writer.write(b"y")
+    assert await soon(reader.readexactly(1)) == b"y"
+
+
+def reset_by_peer(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection and leave the loop no time to see it."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
