--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -20,6 +20,7 @@
 from fleetlab import runs, scenario, schedule
 from fleetlab.checks import Result
 from fleetlab.fleet import FleetError
+from fleetlab.sim import quorum
 from standins.records import HistoryError
 
 HOLDS, FAILS, WRONG, INTERRUPTED = 0, 1, 2, 130
@@ -207,6 +208,21 @@
             print(runs.row(results), flush=True)
 
 
+@app.command()
+def sim(
+    schedules: Annotated[int, typer.Option(min=1, help="How many.")] = 1000,
+    seed: Annotated[int, typer.Option(min=0, help="The first one's.")] = 0,
+    jobs: Annotated[int, typer.Option(min=1, help="Processes at once.")] = 4,
+) -> None:
+    """Play schedules of the quorum's core in the simulator; each one that breaks a rule is a line."""
+    with interruptible():
+        found = quorum.campaign(range(seed, seed + schedules), jobs)
+    for number, _, text in found.broken:
+        print(f"seed {number}: {text}")
+    print(f"{found.played} schedules, {len(found.broken)} broken: {dict(found.counts)}")
+    raise typer.Exit(FAILS if found.broken else HOLDS)
+
+
 def numbers(text: str, option: str) -> list[int]:
     """Whole numbers between commas."""
     try:
--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -23,6 +23,7 @@
 READY_SLACK_S = 1.5  # after a relay is ready again, in which no notice is overdue
 SILENT_S = 6.0  # after which whatever discovery has to tell counts as told
 INVALID_LAG_S = 0.25  # a lab that came later than this may have made what it reports
+UNDER_WAY_S = 0.25  # that an act may be on its way behind a check which a fault came after
 EFFECT_SAFE, EFFECT_KEYED, EFFECT_UNSAFE = "safe", "keyed", "unsafe"
 
 
@@ -124,6 +125,7 @@
         self.partners: list[records.Partner] = []
         self.probes: list[records.Probed] = []
         self.unsent: list[records.Unsent] = []
+        self.acts: list[records.Acted] = []
         self.told: dict[str, list[records.Told]] = defaultdict(list)
         self.changed: list[records.Changed] = []
         self.lives: dict[str, list[Life]] = defaultdict(list)
@@ -171,6 +173,8 @@
                 self.phases[record.name] = record.t
             case records.Used():
                 self.used[record.name] = record
+            case records.Acted():
+                self.acts.append(record)
             case records.Changed():
                 self.changed.append(record)
             case records.Fault():
@@ -547,7 +551,32 @@
     ]
 
 
+def one_actor(run: Run) -> list[Finding]:
+    """By the resource's record: after an act under a newer token none under an older one is let in.
+
+    The unfenced resource lets in what a holder began before it was stopped and sent after: that much no lease
+    can prevent, and it is a finding only where no fault had the holder.
+    """
+    found = []
+    newest: dict[tuple[str, str], records.Acted] = {}
+    for act in sorted(run.acts, key=lambda item: item.t):
+        last = newest.setdefault((act.resource, act.lease), act)
+        if act.admitted and act.token < last.token:
+            excused = act.resource == "unfenced" and disturbed(run, act.holder, act.t - UNDER_WAY_S, act.t)
+            if not excused:
+                text = (
+                    f"{act.holder} acted on {act.resource} {act.lease} under {act.token} after {last.token}"
+                )
+                found.append(Finding(act.t, text))
+        elif act.token > last.token:
+            newest[act.resource, act.lease] = act
+        if act.token == last.token and act.holder != last.holder:
+            found.append(Finding(act.t, f"{act.holder} and {last.holder} both have token {act.token}"))
+    return found
+
+
 CHECKERS: dict[str, Checker] = {
+    "one_actor": one_actor,
     "ended_once": ended_once,
     "in_time": in_time,
     "one_out": one_out,
--- /dev/null
+++ b/fleetlab/holding.py
@@ -0,0 +1,102 @@
+"""Holders of leases for the lab, ``python -m fleetlab.holding CONFIG``: take one, act while it lasts, again.
+
+It trusts the holder's library alone: it checks ``may_act`` before each act, then acts on both resources. What
+it knows of itself it does not tell; the resource's record is judged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tomllib
+from random import Random
+from typing import Any
+
+import msgspec
+
+from fleetlab.resource import Act
+from mallowquorum.client import Client, Keeper, QuorumError
+from mallowquorum.config import Address, address_of
+
+PORT = 7000
+ACT_S = 0.02  # s between acts
+ANSWER_S = 1.0
+RETURN_AFTER = 80  # acts after which a holder gives its lease back in order
+
+
+class Task:
+    """The leased work: counting on both resources."""
+
+    def __init__(self, name: str, lease: str, resource: Address) -> None:
+        self._name, self._lease, self._address = name, lease, resource
+        self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def act(self, token: int) -> None:
+        """One act on each."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                if self._connection is None:
+                    self._connection = await asyncio.open_connection(*self._address)
+                reader, writer = self._connection
+                for resource in ("unfenced", "fenced"):
+                    act = Act(resource, self._lease, self._name, token)
+                    writer.write(msgspec.json.encode(act) + b"\n")
+                    await reader.readline()
+        except (OSError, TimeoutError):
+            if self._connection is not None:
+                self._connection[1].transport.abort()
+                self._connection = None
+
+
+async def hold(keeper: Keeper, task: Task, careless: bool) -> None:
+    """Act as long as the lease lasts, and give it back in order now and then.
+
+    A careless one, which is planted, goes on where it had to stop: the resource's record has to show it.
+    """
+    keeping = asyncio.ensure_future(keeper.keep())
+    acts = 0
+    try:
+        while (careless or keeper.may_act()) and acts < RETURN_AFTER:
+            await task.act(keeper.holding.token)
+            acts += 1
+            await asyncio.sleep(ACT_S)
+    finally:
+        keeping.cancel()
+        await asyncio.gather(keeping, return_exceptions=True)
+    if keeper.may_act():
+        await keeper.give_back(ANSWER_S)
+
+
+async def run(config: dict[str, Any]) -> None:
+    """Take the lease again and again until the process ends."""
+    members = {name: address_of(text) for name, text in config["members"].items()}
+    server = await asyncio.start_server(lambda _, writer: writer.close(), config["address"], PORT)
+    ttl_ms, random = int(config["ttl_ms"]), Random()
+    client = Client(members, config["name"])
+    task = Task(config["name"], config["lease"], address_of(config["resource"]))
+    opened = False
+    async with server:
+        while True:
+            try:
+                if not opened:
+                    await client.open(5.0)
+                    opened = True
+                keeper = Keeper(client, config["lease"], ttl_ms)
+                if await keeper.take(2 * ttl_ms, 5.0):
+                    await hold(keeper, task, bool(config.get("careless", False)))
+            except QuorumError:
+                client.close()
+                opened = False
+            await asyncio.sleep(random.uniform(0.01, 0.1))
+
+
+def main() -> int:
+    """Read the configuration and run."""
+    with open(sys.argv[1], "rb") as file:
+        config = tomllib.load(file)
+    asyncio.run(run(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -19,6 +19,7 @@
 
 from fleetlab.fleet import Fleet, Limits, Member, deploy_run, python_run
 from fleetlab.links import Address, Condition, TcpLink
+from fleetlab.resource import ACTS, Act
 from fleetlab.scenario import LINK, ON_LINKS, ON_PARTNERS, ON_PLATFORM, Fault, Program, Scenario, links_of
 from fleetlab.schedule import Planned, numbered, what
 from fleetlab.settings import settings
@@ -117,6 +118,7 @@
             await self._open()
             await self._start(command)
             await self._load()
+            self._take_acts()
         finally:
             for task in list(self._tasks):
                 task.cancel()
@@ -312,6 +314,20 @@
             await asyncio.sleep(0.05)
         self.history(records.Phase(self._clock.now(), "over"))
 
+    def _take_acts(self) -> None:
+        """What resources noted by themselves, on the clock that all processes of a machine share."""
+        decode = msgspec.json.Decoder(Act).decode
+        for member in self.fleet.members.values():
+            path = member.state / ACTS
+            if not path.exists():
+                continue
+            for line in path.read_bytes().splitlines():
+                act = decode(line)
+                at_s = act.at_s - self._clock.start_s
+                self.history(
+                    records.Acted(at_s, act.resource, act.lease, act.holder, act.token, act.admitted)
+                )
+
     async def _measure_lag(self) -> None:
         while True:
             due_s = self._clock.now() + TICK_S
--- /dev/null
+++ b/fleetlab/resource.py
@@ -0,0 +1,79 @@
+"""What leased tasks act on, ``python -m fleetlab.resource CONFIG``: a fenced and an unfenced counter.
+
+Each act names its holder and token. The fenced one keeps the rule (no token below the highest seen), the
+unfenced one lets everybody in; both note every act with the time at which it came, in ``acts.jsonl``, which
+the lab takes into the history: who acted when is the resource's own record, not the holders'.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from mallowquorum.holder import Fence
+
+PORT = 7000
+MOST_LINE = 4096
+ACTS = "acts.jsonl"
+
+
+class Act(msgspec.Struct, frozen=True):
+    """A line to the resource, and with ``at_s`` (monotonic) and ``admitted`` a line of its record."""
+
+    resource: str  # fenced, unfenced
+    lease: str
+    holder: str
+    token: int
+    at_s: float = 0.0
+    admitted: bool = False
+
+
+class Resource:
+    """Both counters, by lease."""
+
+    def __init__(self, folder: Path) -> None:
+        self._record = (folder / ACTS).open("ab", buffering=0)
+        self._fences: dict[str, Fence] = {}
+        self._decode = msgspec.json.Decoder(Act).decode
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Take acts, one a line, each answered ``yes`` or ``no``."""
+        try:
+            while line := await reader.readline():
+                act = self._decode(line)
+                admitted = act.resource == "unfenced" or self._fence(act.lease).admits(act.token)
+                noted = msgspec.structs.replace(act, at_s=time.monotonic(), admitted=admitted)
+                self._record.write(msgspec.json.encode(noted) + b"\n")
+                writer.write(b"yes\n" if admitted else b"no\n")
+        except (ConnectionError, ValueError, msgspec.DecodeError):
+            pass
+        finally:
+            writer.close()
+
+    def _fence(self, lease: str) -> Fence:
+        return self._fences.setdefault(lease, Fence())
+
+
+async def run(config: dict[str, Any]) -> None:
+    """Serve until the process ends."""
+    resource = Resource(Path(config["state"]))
+    server = await asyncio.start_server(resource.serve, config["address"], PORT, limit=MOST_LINE)
+    await server.serve_forever()
+
+
+def main() -> int:
+    """Read the configuration and serve."""
+    with open(sys.argv[1], "rb") as file:
+        config = tomllib.load(file)
+    asyncio.run(run(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fleetlab/sim/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded simulator: a clock, a network and disks on which the very cores of services run, step by step."""
--- /dev/null
+++ b/mallowquorum/client.py
@@ -0,0 +1,220 @@
+"""The client's shell: a session with a quorum that rides out changes of its leader.
+
+A request is repeated under the same session and number until its answer is certain, so that it counts once;
+between tries the pauses grow, with jitter, up to a bound. A lease counts from an answer's ``counts_from_us``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from mallowquorum import wire
+from mallowquorum.config import Address
+from mallowquorum.holder import Asking, Bounds, Holding
+from mallowquorum.machine import Acquire, Answer, Done, Held, Open, Put, Refused, Release, Renew
+from mallowquorum.member import Elsewhere, Read, Request, Response, Told, Unknown, Wait
+from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
+
+TRY_S = 0.5  # s for one try, beside what the request itself may wait
+CONNECT_S = 0.5
+PAUSES_S = (0.02, 1.0)  # between tries: at first, and at most
+
+
+class QuorumError(RuntimeError):
+    """There is no certain answer in the time that was given."""
+
+
+def now_us() -> int:
+    """The monotonic clock."""
+    return time.monotonic_ns() // 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Got:
+    """An answer, and from when on what it brings may be counted."""
+
+    response: Response
+    counts_from_us: int
+
+
+class Client:
+    """One session."""
+
+    def __init__(self, members: Mapping[str, Address], owner: str, random: Random | None = None) -> None:
+        self._members, self._owner, self._random = dict(members), owner, random or Random()
+        self._leader = ""
+        self._connection: tuple[str, asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._number = 0  # of requests on the connection
+        self._session, self._seq = 0, 0
+
+    async def ask(self, request: Request, within_s: float) -> Got:
+        """Ask until the answer is certain; ``QuorumError`` where that takes longer."""
+        asking, pause_s = Asking(), PAUSES_S[0]
+        until_us = now_us() + int(within_s * 1e6)
+        waits_s = request.wait_ms / 1000 if isinstance(request, Wait) else 0.0
+        while now_us() < until_us:
+            asking.sent(now_us())
+            response = await self._try(request, TRY_S + waits_s)
+            if response is not None and not isinstance(response, Elsewhere | Unknown):
+                return Got(response, asking.counts_from_us)
+            if isinstance(response, Elsewhere) and response.leader in self._members:
+                moved = self._leader != response.leader
+                self._leader = response.leader
+                if moved:
+                    continue
+            else:
+                self._leader = ""
+            await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5))
+            pause_s = min(2 * pause_s, PAUSES_S[1])
+        raise QuorumError(f"no certain answer within {within_s:g} s")
+
+    async def _try(self, request: Request, try_s: float) -> Response | None:
+        """One try at the member that leads, or at any; None where it brought nothing."""
+        name = self._leader or self._random.choice(list(self._members))
+        try:
+            reader, writer = await self._reach(name)
+            self._number += 1
+            writer.write(frame(wire.Ask(self._number, request)))
+            async with asyncio.timeout(try_s):
+                while body := await wire.read_frame(reader, MOST_FRAME):
+                    told = wire.decoded(wire.told_decoder, body)
+                    if told.number == self._number:
+                        if not isinstance(told.response, Elsewhere):
+                            self._leader = name
+                        return told.response
+        except (OSError, TimeoutError, WireError):
+            pass
+        self.close()
+        return None
+
+    async def _reach(self, name: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._connection is not None and self._connection[0] == name:
+            return self._connection[1:]
+        self.close()
+        async with asyncio.timeout(CONNECT_S):
+            reader, writer = await asyncio.open_connection(*self._members[name])
+        writer.write(frame(Hello(VERSION)))
+        self._connection = (name, reader, writer)
+        return reader, writer
+
+    def close(self) -> None:
+        """Let go of the connection; the session stays."""
+        if self._connection is not None:
+            self._connection[2].transport.abort()
+            self._connection = None
+
+    async def open(self, within_s: float) -> None:
+        """Begin a session."""
+        got = await self.ask(Open(self._owner), within_s)
+        if not isinstance(got.response, Done):
+            raise QuorumError(f"no session: {got.response}")
+        self._session, self._seq = got.response.session, 0
+
+    def _next(self) -> int:
+        self._seq += 1
+        return self._seq
+
+    async def acquire(
+        self, lease: str, ttl_ms: int, *, delay_ms: int = 0, wait_ms: int = 0, within_s: float
+    ) -> Got:
+        """Take a lease, waiting in turn for it where another holds it."""
+        acquire = Acquire(self._session, self._next(), lease, ttl_ms, delay_ms)
+        return await self.ask(Wait(acquire, wait_ms) if wait_ms else acquire, within_s)
+
+    async def renew(self, lease: str, token: int, within_s: float) -> Got:
+        """Hold a lease on."""
+        return await self.ask(Renew(self._session, self._next(), lease, token), within_s)
+
+    async def release(self, lease: str, token: int, within_s: float) -> Got:
+        """Give a lease back."""
+        return await self.ask(Release(self._session, self._next(), lease, token), within_s)
+
+    async def read(self, within_s: float, *, lease: str = "", key: str = "") -> Told:
+        """What a lease and a record are."""
+        got = await self.ask(Read(lease, key), within_s)
+        if not isinstance(got.response, Told):
+            raise QuorumError(f"not read: {got.response}")
+        return got.response
+
+    async def put(self, key: str, version: int, value: bytes, within_s: float) -> Answer:
+        """Write a record, if its version is that one."""
+        got = await self.ask(Put(self._session, self._next(), key, version, value), within_s)
+        if not isinstance(got.response, Done | Held | Refused):
+            raise QuorumError(f"not written: {got.response}")
+        return got.response
+
+
+class Keeper:
+    """Holds one lease for a task: renews it in time, and knows at each moment whether the task may act."""
+
+    def __init__(self, client: Client, lease: str, ttl_ms: int, bounds: Bounds | None = None) -> None:
+        self._client, self._lease, self._ttl_ms = client, lease, ttl_ms
+        self._bounds = bounds or Bounds()
+        self.holding = Holding(ttl_ms * 1000, self._bounds)
+
+    async def take(self, wait_ms: int, within_s: float, delay_ms: int = 0) -> bool:
+        """Take the lease; False where another holds it, or where what came has no time left."""
+        got = await self._client.acquire(
+            self._lease, self._ttl_ms, delay_ms=delay_ms, wait_ms=wait_ms, within_s=within_s
+        )
+        if not isinstance(got.response, Done):
+            return False
+        self.holding, token = Holding(self._ttl_ms * 1000, self._bounds), got.response.token
+        if self.holding.granted(got.counts_from_us, now_us(), token):
+            return True
+        # It waited for its turn, and cannot know for how long: a renewal tells how much is left.
+        got = await self._client.renew(self._lease, token, self._ttl_ms / 1000)
+        return isinstance(got.response, Done) and self.holding.granted(got.counts_from_us, now_us(), token)
+
+    async def keep(self) -> None:
+        """Renew until the lease is over; returns when the task must have stopped."""
+        while self.holding.may_act(now_us()):
+            pause_us = self.holding.renew_us - now_us()
+            if pause_us > 0:
+                await asyncio.sleep(pause_us / 1e6)
+            left_s = (self.holding.until_us - now_us()) / 1e6
+            if left_s <= 0:
+                continue
+            try:
+                got = await self._client.renew(self._lease, self.holding.token, left_s)
+            except QuorumError:
+                continue
+            if isinstance(got.response, Done):
+                self.holding.renewed(got.counts_from_us, now_us(), got.response.token)
+            else:
+                self.holding.lost()
+
+    async def give_back(self, within_s: float) -> None:
+        """An orderly end: the task has stopped, the next may have the lease at once."""
+        token = self.holding.token
+        self.holding.lost()
+        await self._client.release(self._lease, token, within_s)
+
+    def may_act(self) -> bool:
+        """Whether an act that is begun now is covered."""
+        return self.holding.may_act(now_us())
+
+
+def health_of(body: bytes) -> wire.Health:
+    """A member's own report."""
+    return wire.decoded(wire.health_decoder, body)
+
+
+async def status(address: Address, within_s: float = 2.0) -> wire.Health:
+    """Ask one member for itself; ``QuorumError`` where it does not answer."""
+    try:
+        async with asyncio.timeout(within_s):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(frame(Hello(VERSION)) + frame(wire.Status(1)))
+                return health_of(await wire.read_frame(reader, MOST_FRAME))
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, WireError, msgspec.DecodeError) as error:
+        raise QuorumError(f"{address[0]}:{address[1]} does not answer: {error!r}") from None
--- /dev/null
+++ b/mallowquorum/config.py
@@ -0,0 +1,85 @@
+"""A member's configuration: TOML, checked at the start; what cannot be used is one line with file and key."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be used."""
+
+
+class Times(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Milliseconds on each member's monotonic clock; the same at all members."""
+
+    least_election_ms: int = 300
+    most_election_ms: int = 600
+    heartbeat_ms: int = 60
+
+
+class Config(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One member of a quorum."""
+
+    name: str
+    listen: str  # where members and clients connect, on this machine's loopback or own network
+    folder: str  # the folder that lasts: term, vote, log and snapshot
+    members: dict[str, str]  # every member at the beginning, by name: its address as this one reaches it
+    times: Times = Times()
+
+    @property
+    def listen_address(self) -> Address:
+        """Where it listens."""
+        return address_of(self.listen)
+
+    @property
+    def others(self) -> dict[str, Address]:
+        """The other members."""
+        return {name: address_of(text) for name, text in self.members.items() if name != self.name}
+
+
+def address_of(text: str) -> Address:
+    """``host:port``; ``ConfigError`` where it is none."""
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def check(config: Config) -> None:
+    """What types alone do not tell; ``ConfigError`` begins with the key."""
+    if config.name not in config.members:
+        raise ConfigError(f"members: {config.name!r} is not among them")
+    if len(config.members) not in (1, 3, 5):
+        raise ConfigError(f"members: there are {len(config.members)}, and have to be 1, 3 or 5")
+    if len(set(config.members.values())) < len(config.members):
+        raise ConfigError("members: two have the same address")
+    times = config.times
+    if not 0 < 2 * times.heartbeat_ms <= times.least_election_ms < times.most_election_ms:
+        raise ConfigError("times: 2 * heartbeat_ms <= least_election_ms < most_election_ms does not hold")
+    for key, text in (("listen", config.listen), *(("members", item) for item in config.members.values())):
+        try:
+            address_of(text)
+        except ConfigError as error:
+            raise ConfigError(f"{key}: {error}") from None
+
+
+def load(path: Path) -> Config:
+    """A configuration file; ``ConfigError`` names file and key."""
+    try:
+        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
+        check(config)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except msgspec.ValidationError as error:
+        reason, _, key = str(error).partition(" - at `$.")
+        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return config
--- /dev/null
+++ b/mallowquorum/machine.py
@@ -0,0 +1,320 @@
+"""The replicated state: sessions, leases with their tokens, and small records. Pure; all members apply alike.
+
+No time is in here: a lease runs out by an ``Expire`` that the leader proposes by its own monotonic clock, so
+that every member sees the same end at the same place in the log.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MOST_SESSIONS, MOST_LEASES, MOST_RECORDS = 8192, 4096, 4096
+MOST_NAME, MOST_VALUE = 128, 64 * 1024  # bytes of a name and of a record
+MOST_TTL_MS, LEAST_TTL_MS = 600_000, 100
+MOST_DELAY_MS = 600_000
+
+
+class Open(msgspec.Struct, frozen=True, tag="open"):
+    """Begin a session; ``owner`` names it for people. The answer's ``session`` counts from then on."""
+
+    owner: str
+
+
+class Close(msgspec.Struct, frozen=True, tag="close"):
+    """End a session; its leases are released."""
+
+    session: int
+    seq: int
+
+
+class Acquire(msgspec.Struct, frozen=True, tag="acquire"):
+    """Take a lease that nobody holds."""
+
+    session: int
+    seq: int
+    lease: str
+    ttl_ms: int
+    delay_ms: int = 0  # after an unclean end nobody gets it for so long
+
+
+class Renew(msgspec.Struct, frozen=True, tag="renew"):
+    """Hold a lease on; refused unless the token is still the one in force."""
+
+    session: int
+    seq: int
+    lease: str
+    token: int
+
+
+class Release(msgspec.Struct, frozen=True, tag="release"):
+    """Give a lease back in order: the next one may have it at once."""
+
+    session: int
+    seq: int
+    lease: str
+    token: int
+
+
+class Put(msgspec.Struct, frozen=True, tag="put"):
+    """Write a record if its version is the expected one (0: it is not there); an empty value takes it away.
+
+    With a ``lease`` only if that lease is in force under ``token``.
+    """
+
+    session: int
+    seq: int
+    key: str
+    version: int
+    value: bytes
+    lease: str = ""
+    token: int = 0
+
+
+class Expire(msgspec.Struct, frozen=True, tag="expire"):
+    """The leader's: a lease has had its time since its ``beat``-th renewal."""
+
+    lease: str
+    token: int
+    beat: int
+
+
+class Free(msgspec.Struct, frozen=True, tag="free"):
+    """The leader's: a lease's delay is over."""
+
+    lease: str
+    token: int
+
+
+Asked = Open | Close | Acquire | Renew | Release | Put
+Command = Asked | Expire | Free
+
+
+class Done(msgspec.Struct, frozen=True, tag="done"):
+    """It is so; what counts of the rest depends on what was asked."""
+
+    session: int = 0
+    token: int = 0
+    version: int = 0
+
+
+class Held(msgspec.Struct, frozen=True, tag="held"):
+    """Another holds the lease, or its delay runs (``owner`` is empty)."""
+
+    owner: str
+    token: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """It cannot be: ``why`` in one line; nothing has changed."""
+
+    why: str
+
+
+Answer = Done | Held | Refused
+
+
+class Lease(msgspec.Struct):
+    """A lease that is held, or that waits out its delay (``session`` 0)."""
+
+    session: int
+    owner: str
+    token: int
+    ttl_ms: int
+    delay_ms: int
+    beat: int = 0  # renewals under this token
+
+
+class Item(msgspec.Struct):
+    """A record."""
+
+    version: int
+    value: bytes
+
+
+class Session(msgspec.Struct):
+    """Who asks, and the answer to the last that was asked, so that a repeat counts once (thesis, 6.3)."""
+
+    owner: str
+    used: int  # the index of its last entry
+    seq: int = 0
+    answer: Answer = Done()
+
+
+class State(msgspec.Struct):
+    """All of it."""
+
+    token: int = 0  # the last that was given
+    sessions: dict[int, Session] = {}
+    leases: dict[str, Lease] = {}
+    records: dict[str, Item] = {}
+
+
+_COMMANDS = msgspec.msgpack.Decoder(Command)
+_STATES = msgspec.msgpack.Decoder(State)
+
+
+def command_of(data: bytes) -> Command:
+    """A command as it stands in the log; ``msgspec.DecodeError`` where it is none."""
+    return _COMMANDS.decode(data)
+
+
+def fault_of(command: Command) -> str:
+    """What makes a command impossible whatever the state; empty where nothing does."""
+    names = [getattr(command, name) for name in ("owner", "lease", "key") if hasattr(command, name)]
+    if any(len(name.encode()) > MOST_NAME for name in names):
+        return f"a name is over {MOST_NAME} bytes"
+    if isinstance(command, Acquire):
+        if not command.lease:
+            return "a lease has a name"
+        if not LEAST_TTL_MS <= command.ttl_ms <= MOST_TTL_MS:
+            return f"ttl_ms is from {LEAST_TTL_MS} to {MOST_TTL_MS}"
+        if not 0 <= command.delay_ms <= MOST_DELAY_MS:
+            return f"delay_ms is from 0 to {MOST_DELAY_MS}"
+    if isinstance(command, Put):
+        if not command.key:
+            return "a record has a name"
+        if len(command.value) > MOST_VALUE:
+            return f"a record is over {MOST_VALUE} bytes"
+    return ""
+
+
+class Machine:
+    """The state, and how a command changes it."""
+
+    def __init__(self, data: bytes = b"") -> None:
+        self.state = State()
+        self.restore(data)
+
+    def snapshot(self) -> bytes:
+        """All of the state."""
+        return msgspec.msgpack.encode(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Start anew from a snapshot; empty: from nothing."""
+        self.state = _STATES.decode(data) if data else State()
+
+    def apply(self, index: int, command: Command) -> Answer:
+        """The command at that index; the same state and command give the same answer everywhere."""
+        if fault := fault_of(command):
+            return Refused(fault)
+        match command:
+            case Open():
+                return self._open(index, command)
+            case Expire():
+                return self._expire(command)
+            case Free():
+                return self._free(command)
+            case _:
+                return self._once(index, command)
+
+    def _open(self, index: int, command: Open) -> Answer:
+        sessions = self.state.sessions
+        if len(sessions) >= MOST_SESSIONS and not self._forget():
+            return Refused(f"there are {MOST_SESSIONS} sessions that hold leases")
+        sessions[index] = Session(command.owner, index)
+        return Done(session=index)
+
+    def _forget(self) -> bool:
+        """Drop the session that was used longest ago among those without a lease; False where none is."""
+        holders = {lease.session for lease in self.state.leases.values()}
+        idle = [(item.used, number) for number, item in self.state.sessions.items() if number not in holders]
+        if not idle:
+            return False
+        del self.state.sessions[min(idle)[1]]
+        return True
+
+    def _once(self, index: int, command: Close | Acquire | Renew | Release | Put) -> Answer:
+        """A session's command: a repeat of the last gets its answer again, an older one none."""
+        session = self.state.sessions.get(command.session)
+        if session is None:
+            return Refused("no such session")
+        if command.seq == session.seq:
+            return session.answer
+        if command.seq < session.seq:
+            return Refused("older than the session's last")
+        session.used = index
+        answer = self._change(session, command)
+        session.seq, session.answer = command.seq, answer
+        return answer
+
+    def _change(self, session: Session, command: Close | Acquire | Renew | Release | Put) -> Answer:
+        match command:
+            case Acquire():
+                return self._acquire(session, command)
+            case Renew():
+                lease = self._in_force(command.lease, command.token, command.session)
+                if lease is None:
+                    return Refused("the lease has passed on")
+                lease.beat += 1
+                return Done(token=lease.token)
+            case Release():
+                if self._in_force(command.lease, command.token, command.session) is None:
+                    return Refused("the lease has passed on")
+                del self.state.leases[command.lease]
+                return Done(token=command.token)
+            case Put():
+                return self._put(command)
+            case Close():
+                held = [name for name, item in self.state.leases.items() if item.session == command.session]
+                for name in held:
+                    del self.state.leases[name]
+                del self.state.sessions[command.session]
+                return Done()
+
+    def _in_force(self, name: str, token: int, session: int | None = None) -> Lease | None:
+        lease = self.state.leases.get(name)
+        if lease is None or not lease.session or lease.token != token:
+            return None
+        return lease if session in (None, lease.session) else None
+
+    def _acquire(self, session: Session, command: Acquire) -> Answer:
+        lease = self.state.leases.get(command.lease)
+        if lease is not None:
+            return Held(lease.owner if lease.session else "", lease.token)
+        if len(self.state.leases) >= MOST_LEASES:
+            return Refused(f"there are {MOST_LEASES} leases")
+        token = self._next_token()
+        self.state.leases[command.lease] = Lease(
+            command.session, session.owner, token, command.ttl_ms, command.delay_ms
+        )
+        return Done(token=token)
+
+    def _next_token(self) -> int:
+        """Tokens only grow, over every restart: they are part of the state."""
+        self.state.token += 1
+        return self.state.token
+
+    def _put(self, command: Put) -> Answer:
+        if command.lease and self._in_force(command.lease, command.token) is None:
+            return Refused("the lease has passed on")
+        records = self.state.records
+        item = records.get(command.key)
+        version = item.version if item is not None else 0
+        if version != command.version:
+            return Refused(f"its version is {version}")
+        if not command.value:
+            records.pop(command.key, None)
+            return Done(version=0)
+        if item is None and len(records) >= MOST_RECORDS:
+            return Refused(f"there are {MOST_RECORDS} records")
+        # A record that comes again under its name goes on counting: tokens are never given twice either.
+        self.state.token += item is None
+        records[command.key] = Item(version + 1 if item is not None else self.state.token, command.value)
+        return Done(version=records[command.key].version)
+
+    def _expire(self, command: Expire) -> Answer:
+        lease = self._in_force(command.lease, command.token)
+        if lease is None or lease.beat != command.beat:
+            return Refused("renewed or passed on")
+        if lease.delay_ms:
+            lease.session, lease.owner = 0, ""
+        else:
+            del self.state.leases[command.lease]
+        return Done()
+
+    def _free(self, command: Free) -> Answer:
+        lease = self.state.leases.get(command.lease)
+        if lease is None or lease.session or lease.token != command.token:
+            return Refused("not in its delay")
+        del self.state.leases[command.lease]
+        return Done()
--- a/standins/records.py
+++ b/standins/records.py
@@ -172,6 +172,16 @@
     asked: bool = True
 
 
+class Acted(Record, frozen=True, tag="acted"):
+    """An act under a lease has come to a resource, by the resource's own record."""
+
+    resource: str  # fenced, unfenced
+    lease: str
+    holder: str
+    token: int
+    admitted: bool
+
+
 class Phase(Record, frozen=True, tag="phase"):
     """The run itself: ``load`` begins, ``rest`` (nothing new is handed in), ``over``."""
 
@@ -194,7 +204,7 @@
 
 AnyRecord = (
     Head | Handed | Heard | Unsent | Call | Ran | Reply | Opened | Gone | Probed | Told | Changed | Noticed
-    | Partner | Fault | Process | Phase | Lag | Used
+    | Partner | Fault | Acted | Process | Phase | Lag | Used
 )  # fmt: skip
 Sink = Callable[[AnyRecord], None]
 _ENCODER, _DECODER = msgspec.json.Encoder(), msgspec.json.Decoder(AnyRecord)
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -180,7 +180,13 @@
     some[at + 1 : at + 1] = [changed(some[at], conn=f"r0:{number}") for number in range(9)]
 
 
+def act_late(some: list[records.AnyRecord]) -> None:
+    for t, holder, token in ((1.0, "h0", 1), (2.0, "h1", 2), (2.1, "h0", 1)):
+        some.append(records.Acted(t, "unfenced", "sweep", holder, token, True))
+
+
 SPOILT: dict[str, Callable[[list[records.AnyRecord]], None]] = {
+    "one_actor": act_late,
     "ended_once": lose, "in_time": end_late, "no_repeat": repeat, "effect_once": run_twice,
     "one_out": overlap, "own_destination": send_astray, "waits_kept": hurry, "cold_spared": push_over,
     "no_crash": crash, "answered": leave_unanswered, "drained": drain_early, "few_attempts": call_often,
--- /dev/null
+++ b/tests/quorum/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leases and what keeps them."""
--- /dev/null
+++ b/tests/quorum/bugs.py
@@ -0,0 +1,246 @@
+"""Planted bugs: each is one wrong step of a class, and has to be found by a rule of the simulator."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fleetlab.sim.quorum import Parts
+from mallowquorum.holder import Asking, Fence, Holding
+from mallowquorum.machine import Acquire, Answer, Close, Machine, Put, Release, Renew, Session
+from mallowquorum.member import Member
+from mallowquorum.messages import (
+    Appended,
+    AskVote,
+    Committed,
+    Entry,
+    Hard,
+    Message,
+    Readable,
+    Send,
+    Vote,
+)
+from mallowquorum.raft import Leading, Raft
+
+
+class VoteNotSynced(Raft):
+    """A vote is told before it is on the disk."""
+
+    def _promise(self, to: str, message: Message) -> None:
+        if isinstance(message, Vote | AskVote):
+            self._emit(Send(to, message))
+        else:
+            super()._promise(to, message)
+
+
+class AppendNotSynced(Raft):
+    """Entries are acknowledged before they are on the disk."""
+
+    def _promise(self, to: str, message: Message) -> None:
+        if isinstance(message, Appended):
+            self._emit(Send(to, message))
+        else:
+            super()._promise(to, message)
+
+
+class VoteForgotten(Raft):
+    """The term is kept, the vote is not."""
+
+    def _save_hard(self) -> None:
+        self._persist(hard=Hard(self.term, ""))
+
+
+class OlderTermCommitted(Raft):
+    """A majority is taken for enough whatever the entry's term."""
+
+    def _may_commit(self, index: int) -> bool:
+        return True
+
+
+class VoteForAnyLog(Raft):
+    """Votes without a look at the asker's log."""
+
+    def _up_to_date(self, message: AskVote) -> bool:
+        return True
+
+
+class OwnCopyNotSynced(Raft):
+    """A leader counts its own copy at once."""
+
+    def _after_sync(self, done: Callable[[], None]) -> None:
+        if self.leading is not None:
+            done()
+        else:
+            super()._after_sync(done)
+
+
+class ReplacesAll(Raft):
+    """An old message takes away entries that it does not speak of."""
+
+    def _take(self, previous: int, entries: tuple[Entry, ...]) -> None:
+        if previous + 1 <= self.log.last:
+            self.log.replace(previous + 1, entries)
+            self._persist(first=previous + 1, entries=entries)
+            return
+        super()._take(previous, entries)
+
+
+class NoPreVote(Raft):
+    """Stands for election without asking whether it would be voted for."""
+
+    def _stand(self, pre: bool, transfer: bool = False) -> None:
+        super()._stand(False, transfer)
+
+
+class StaleRead(Raft):
+    """A leader answers reads without asking whether it still is one."""
+
+    def _confirm(self, leading: Leading) -> None:
+        if self.commit < leading.first:
+            return
+        for tag, _ in leading.reads:
+            self._emit(Readable(tag))
+        leading.reads = []
+
+
+class ReadsTooSoon(Raft):
+    """A new leader answers reads before it knows what was committed."""
+
+    def _confirm(self, leading: Leading) -> None:
+        leading.first, first = 0, leading.first
+        super()._confirm(leading)
+        leading.first = first
+
+
+class MembersAtOnce(Raft):
+    """Changes of membership may overlap."""
+
+    def _may_change(self, leading: Leading, members: tuple[str, ...]) -> bool:
+        return len(members) > 0
+
+
+class SnapshotWithoutSessions(Machine):
+    """Sessions are left out of the snapshot."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self.state.sessions.clear()
+
+
+class TokenAgain(Machine):
+    """The next token is one more than what is in force, not than what was ever given."""
+
+    def _next_token(self) -> int:
+        self.state.token = 1 + max((lease.token for lease in self.state.leases.values()), default=0)
+        return self.state.token
+
+
+class RepeatsCount(Machine):
+    """A request that is repeated is done again."""
+
+    def _once(self, index: int, command: Close | Acquire | Renew | Release | Put) -> Answer:
+        session = self.state.sessions.get(command.session)
+        if session is not None:
+            session.seq = -1
+        return super()._once(index, command)
+
+
+class ExpiresRenewed(Machine):
+    """The end of a lease's time counts also where it was renewed meanwhile."""
+
+    def _change(self, session: Session, command: Close | Acquire | Renew | Release | Put) -> Answer:
+        answer = super()._change(session, command)
+        if isinstance(command, Renew) and command.lease in self.state.leases:
+            self.state.leases[command.lease].beat = 0
+        return answer
+
+
+class NewLeaderShortens(Member):
+    """A new leader takes every lease's time for over."""
+
+    def _committed(self, action: Committed) -> None:
+        before = self._ready
+        super()._committed(action)
+        if self._ready and not before:
+            over_us = self._now_us
+            self._clocks = {name: (over_us, token, beat) for name, (_, token, beat) in self._clocks.items()}
+
+
+class ClocksGoOn(Member):
+    """A leader goes on with the clocks that it kept from the last time it led."""
+
+    def _follow(self) -> None:
+        kept = dict(self._clocks)
+        super()._follow()
+        self._kept = kept
+
+    def _committed(self, action: Committed) -> None:
+        before = self._ready
+        super()._committed(action)
+        if self._ready and not before:
+            for name, (due_us, _, beat) in getattr(self, "_kept", {}).items():
+                if name in self._clocks:
+                    self._clocks[name] = (due_us, self._clocks[name][1], max(beat, self._clocks[name][2]))
+
+
+class CountedFromAnswer(Holding):
+    """A lease counts from when its answer came."""
+
+    def _counted_us(self, sent_us: int, heard_us: int) -> int:
+        return super()._counted_us(heard_us, heard_us)
+
+
+class LateRenewal(Holding):
+    """A renewal that comes when the lease is over brings it back."""
+
+    def _late(self, now_us: int) -> bool:
+        self._over = False
+        return False
+
+
+class CountedFromRepeat(Asking):
+    """A lease counts from the last repeat of its request."""
+
+    def sent(self, now_us: int) -> None:
+        self._first_us = now_us
+
+
+class NoFence(Fence):
+    """The resource lets everybody in."""
+
+    def admits(self, token: int) -> bool:
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Bug:
+    """Where a bug is planted, and by which rules it may show."""
+
+    parts: Parts
+    rules: tuple[str, ...]
+
+
+SAFETY = ("election", "completeness", "matching", "machine", "term", "linear", "token")
+BUGS: dict[str, Bug] = {
+    "vote not synced": Bug(Parts(raft=VoteNotSynced), SAFETY),
+    "append not synced": Bug(Parts(raft=AppendNotSynced), SAFETY),
+    "vote forgotten": Bug(Parts(raft=VoteForgotten), SAFETY),
+    "older term committed": Bug(Parts(raft=OlderTermCommitted), SAFETY),
+    "vote for any log": Bug(Parts(raft=VoteForAnyLog), SAFETY),
+    "own copy not synced": Bug(Parts(raft=OwnCopyNotSynced), SAFETY),
+    "replaces all": Bug(Parts(raft=ReplacesAll), (*SAFETY, "stuck")),
+    "no pre-vote": Bug(Parts(raft=NoPreVote), ()),
+    "stale read": Bug(Parts(raft=StaleRead), ("linear",)),
+    "reads too soon": Bug(Parts(raft=ReadsTooSoon), ("linear",)),
+    "members at once": Bug(Parts(raft=MembersAtOnce), (*SAFETY, "stuck")),
+    "snapshot without sessions": Bug(Parts(machine=SnapshotWithoutSessions), ("machine",)),
+    "token again": Bug(Parts(machine=TokenAgain), ("token", "fence", "machine", "linear")),
+    "repeats count": Bug(Parts(machine=RepeatsCount), ("once", "linear", "token", "overlap")),
+    "expires renewed": Bug(Parts(machine=ExpiresRenewed), ("overlap",)),
+    "new leader shortens": Bug(Parts(member=NewLeaderShortens), ("overlap",)),
+    "clocks go on": Bug(Parts(member=ClocksGoOn), ("overlap",)),
+    "counted from answer": Bug(Parts(holding=CountedFromAnswer), ("overlap",)),
+    "late renewal": Bug(Parts(holding=LateRenewal), ("late",)),
+    "counted from repeat": Bug(Parts(asking=CountedFromRepeat), ("overlap",)),
+    "no fence": Bug(Parts(fence=NoFence), ("fence",)),
+}
--- /dev/null
+++ b/tests/quorum/test_processes.py
@@ -0,0 +1,104 @@
+"""Leases by real processes in the lab: members, holders and a resource whose own record is judged."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from fleetlab import runs, scenario
+from fleetlab.checks import Result
+from standins import records
+from tests.lab.test_fleet import processes
+
+MEMBERS = "\n".join(f'quorum{number} = "{{link:quorum{number}:7000}}"' for number in range(3))
+FLEET = f"""
+about = "three members and three holders"
+seconds = 9
+relays = 1
+relay = "plain"
+[load]
+per_s = 1
+[[program]]
+name = "quorum"
+module = "mallowquorum"
+count = 3
+config = '''
+name = "quorum{{number}}"
+listen = "{{address}}:7000"
+folder = "{{state}}"
+[members]
+{MEMBERS}
+'''
+[[program]]
+name = "resource"
+module = "fleetlab.resource"
+config = '''
+address = "{{address}}"
+state = "{{state}}"
+'''
+[[program]]
+name = "holder"
+module = "fleetlab.holding"
+count = 3
+config = '''
+name = "holder{{number}}"
+address = "{{address}}"
+lease = "sweep"
+ttl_ms = 600
+careless = CARELESS
+resource = "{{link:resource0:7000}}"
+[members]
+{MEMBERS}
+'''
+"""
+
+
+def fault(kind: str, at_s: float, for_s: float, *names: str) -> str:
+    """A fault's table."""
+    return f'[[fault]]\nkind = "{kind}"\nat_s = {at_s}\nfor_s = {for_s}\non = {json.dumps(names)}\n'
+
+
+HOLDERS = ("holder0", "holder1", "holder2")
+FAULTS = {
+    "members killed in turn": fault("kill", 2, 1.5, "quorum0") + fault("kill", 5, 1.5, "quorum1"),
+    "all members killed": fault("kill", 3, 1, "quorum0", "quorum1", "quorum2"),
+    # Each before the last one goes on: whoever holds the lease stands still while another takes it.
+    "holders paused": "".join(
+        fault("pause", at_s + 0.5 * at, 1.5, name) for at_s in (1, 5) for at, name in enumerate(HOLDERS)
+    ),
+}
+
+
+def played(folder: Path, faults: str, careless: bool = False) -> tuple[Result, list[records.Acted]]:
+    """A run's result, and the acts on the fenced resource."""
+    text = FLEET.replace("CARELESS", str(careless).lower()) + faults
+    plan = runs.planned("leases", scenario.read(text, "leases"), 1)
+    result = runs.play(plan, folder / "run", lambda _: None)
+    assert not processes(folder)
+    return result, [act for act in runs.opened(folder / "run").acts if act.resource == "fenced"]
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_no_two_act_at_once(tmp_path: Path, name: str) -> None:
+    """By the resource's record; and the work goes on afterwards, passed on to others."""
+    result, acts = played(tmp_path, FAULTS[name])
+    assert result.checks["one_actor"].ok, result.checks["one_actor"]
+    assert result.checks["no_crash"].ok
+    assert len({act.token for act in acts}) > 3
+    assert len({act.holder for act in acts}) == 3
+    assert acts[-1].t > 8.0
+
+
+def test_a_careless_holder_is_found(tmp_path: Path) -> None:
+    """One that acts on after it had to stop: the unfenced resource shows it, the fenced one keeps it out."""
+    result, acts = played(tmp_path, FAULTS["holders paused"], careless=True)
+    assert not result.checks["one_actor"].ok
+    assert "unfenced" in result.checks["one_actor"].first
+    assert not all(act.admitted for act in acts)
+    highest = 0
+    for act in acts:
+        if act.admitted:
+            assert act.token >= highest
+            highest = act.token
