--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -360,6 +360,8 @@
         connection.name = f"{self.caller}:{far.transport.get_extra_info('sockname')[1]}"
         if self._came is not None:
             self._came(connection.name)
+        if connection.over and self._gone is not None:  # its caller ended before it had a name
+            self._gone(connection.name)
         near.other, far.other = far, near
         self._connections.add(connection)
         near.pump()  # what came before the called side was there
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -303,7 +303,8 @@
             peer.writer.write(http.answer(400))
             return False
         refs = [ref for ref, _, _ in items]
-        self._sink(Call(now_s, peer.conn, peer.relay, self.host, refs, begun_s))
+        limit_s = limit_of(request.headers.get("x-remaining", ""))
+        self._sink(Call(now_s, peer.conn, peer.relay, self.host, refs, begun_s, limit_s))
         if len(items) > self.site.spec.batch:
             self._reply(peer, refs, Turned(413))
             return True
@@ -404,6 +405,12 @@
         return peer[0], f"{peer[0]}:{peer[1]}"
 
 
+def limit_of(text: str) -> float:
+    """How long a relay says that it waits, in seconds: a number with ``m`` or ``u``; 0 for anything else."""
+    parts = {"m": 1e3, "u": 1e6}
+    return int(text[:-1]) / parts[text[-1]] if text[:-1].isdecimal() and text[-1] in parts else 0.0
+
+
 def items_of(request: http.Request) -> list[tuple[str, str, bytes]]:
     """The messages of a call: id, key, bytes."""
     if request.method == "POST" and request.target == ONE and "x-txn" in request.headers:
--- a/standins/records.py
+++ b/standins/records.py
@@ -69,13 +69,17 @@
 
 
 class Call(Record, frozen=True, tag="call"):
-    """The last byte of a call has come to an endpoint; ``begun`` is when its first byte came."""
+    """The last byte of a call has come to an endpoint; ``begun`` is when its first byte came.
+
+    ``limit_s`` is how long its relay says that it waits (0: not said).
+    """
 
     conn: str
     relay: str
     host: str
     refs: list[str]
     begun: float
+    limit_s: float = 0.0
 
 
 class Ran(Record, frozen=True, tag="ran"):
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -288,6 +288,17 @@
     assert await soon(reader.readexactly(1)) == b"y"
 
 
+async def test_a_caller_that_ends_before_its_connection_is_through_is_told(ways: Ways) -> None:
+    """Once: a call that it had written comes to the called side all the same, and must not look as if out."""
+    echo, link, gone = ways
+    sock = socket.create_connection(link.address)
+    sock.sendall(b"written")
+    sock.close()  # the link has not even accepted it
+    await until(lambda: bytes(echo.came) == b"written" and gone)
+    await asyncio.sleep(0.05)
+    assert len(gone) == 1
+
+
 def reset_by_peer(writer: asyncio.StreamWriter) -> None:
     """Reset a connection and leave the loop no time to see it."""
     sock = writer.get_extra_info("socket")
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -213,6 +213,19 @@
     assert not [found for found in findings(Run(some))["drained"] if call.refs[0] in found.text]
 
 
+def test_an_answer_may_cross_the_giving_up_of_its_call(days: Days) -> None:
+    """A notice beside a delivery is one end too many, unless the answer came as the call's time was up."""
+    some = history(days)
+    at = next(at for at, item in enumerate(some) if isinstance(item, records.Reply) and item.t > 1.5)
+    reply = some[at]
+    assert isinstance(reply, records.Reply)
+    some.insert(at + 1, records.Noticed(reply.t + 0.001, reply.relay, reply.refs[0], "dead"))
+    assert findings(Run(some))["ended_once"]
+    for call in [item for item in some if isinstance(item, records.Call) and item.refs == reply.refs]:
+        some[some.index(call)] = changed(call, limit_s=reply.t - call.t)
+    assert not findings(Run(some))["ended_once"]
+
+
 def test_a_late_lab_is_invalid_not_failed(days: Days) -> None:
     """What the lab itself may have caused is not the relay's."""
     some = history(days)
