Let the lab and the stand-ins share what each had written again

Need: a connection was reset by three functions of the same lines, a command packed by two, the root found by two, an address dialled by two, and three small programs of the lab started by the same main.

Change: standins.http.reset, standins.scripted.packed and ROOT serve all; fleetlab/program.py starts the lab's programs and calls others. Behaviour is unchanged.

--- a/fleetlab/echo.py
+++ b/fleetlab/echo.py
@@ -9,11 +9,11 @@
 import asyncio
 import json
 import sys
-import tomllib
 from pathlib import Path
 from typing import Any
 
-PORT = 7000
+from fleetlab.program import PORT, main, open_to
+
 EVERY_S, PATIENCE_S = 0.1, 0.2
 
 
@@ -29,11 +29,10 @@
 
 async def ask(own: str, other: str) -> bool:
     """Whether another process answers."""
-    host, port = other.rsplit(":", 1)
     word = f"{own}\n".encode()
     try:
         async with asyncio.timeout(PATIENCE_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await open_to(other)
             try:
                 writer.write(word)
                 return await reader.readline() == word
@@ -56,13 +55,5 @@
                 await asyncio.sleep(EVERY_S)
 
 
-def main() -> int:
-    """Read the configuration and run."""
-    with open(sys.argv[1], "rb") as file:
-        config = tomllib.load(file)
-    asyncio.run(run(config))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(run))
--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -18,8 +18,8 @@
 from typing import Any
 
 from standins.records import Process, Sink, Used
+from standins.scripted import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 PR_SET_PDEATHSIG = 1  # Linux, prctl(2): the signal that a child gets when the thread that made it ends
 LIBC = ctypes.CDLL(None, use_errno=True)
 BUILD_S = 600.0  # s for the deploy file's build
--- a/fleetlab/holding.py
+++ b/fleetlab/holding.py
@@ -8,17 +8,16 @@
 
 import asyncio
 import sys
-import tomllib
 from random import Random
 from typing import Any
 
 import msgspec
 
+from fleetlab.program import PORT, main
 from fleetlab.resource import Act
 from mallowquorum.client import Client, Keeper, QuorumError
 from mallowquorum.config import Address, address_of
 
-PORT = 7000
 ACT_S = 0.02  # s between acts
 ANSWER_S = 1.0
 RETURN_AFTER = 80  # acts after which a holder gives its lease back in order
@@ -90,13 +89,5 @@
             await asyncio.sleep(random.uniform(0.01, 0.1))
 
 
-def main() -> int:
-    """Read the configuration and run."""
-    with open(sys.argv[1], "rb") as file:
-        config = tomllib.load(file)
-    asyncio.run(run(config))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(run))
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -26,6 +26,7 @@
 from standins import clients, records
 from standins.partner import Clock, Endpoint, Site
 from standins.platform import Entry, Platform
+from standins.scripted import packed
 
 CLIENTS_PORT, ADMIN_PORT = 7000, 7001  # at a relay's own address, which nothing else on the machine uses
 LINKS, CLIENTS, SERVERS, CLAIM, FIRST_RELAY = 2, 3, 4, 1, 10  # last bytes of the run's addresses
@@ -274,7 +275,7 @@
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(self._addresses[member.name], CLIENTS_PORT)
                 try:
-                    writer.write(clients.packed(b"PING"))
+                    writer.write(packed(b"PING"))
                     return await reader.readline() == b"+PONG\r\n"
                 finally:
                     writer.close()
--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +17,8 @@
 
 import numpy as np
 
+from standins.http import reset
+
 MOST_QUEUED = 256 * 1024  # bytes that a direction of one connection holds back before it stops reading
 MOST_DATAGRAMS = 4096  # that a direction of a UDP link holds back; more are lost
 BACKLOG = 256
@@ -203,14 +204,6 @@
             self._flow.changed.remove(self.pump)
 
 
-def reset(transport: asyncio.Transport) -> None:
-    """Break a connection so that its peer sees a reset."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    transport.abort()
-
-
 @dataclass(slots=True, eq=False)
 class Connection:
     """A connection through a link; ``name`` is how the called side knows it."""
--- a/fleetlab/plain.py
+++ b/fleetlab/plain.py
@@ -17,6 +17,8 @@
 from pathlib import Path
 from typing import Any
 
+from fleetlab.program import open_to
+
 BUGS = (
     "forget", "late", "two-out", "repeat", "many", "wrong-destination", "ignore-drain", "ignore-wait",
     "silent", "crash", "two-ends", "invent", "hammer",
@@ -174,12 +176,6 @@
             await asyncio.sleep(0.2)
 
 
-async def open_to(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """A connection to ``host:port``."""
-    host, port = address.rsplit(":", 1)
-    return await asyncio.open_connection(host, int(port))
-
-
 async def words_of(reader: asyncio.StreamReader) -> list[bytes]:
     """The words of one request; none where the client has ended."""
     first = await reader.readline()
--- a/fleetlab/resource.py
+++ b/fleetlab/resource.py
@@ -10,15 +10,14 @@
 import asyncio
 import sys
 import time
-import tomllib
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from fleetlab.program import PORT, main
 from mallowquorum.holder import Fence
 
-PORT = 7000
 MOST_LINE = 4096
 ACTS = "acts.jsonl"
 
@@ -67,13 +66,5 @@
     await server.serve_forever()
 
 
-def main() -> int:
-    """Read the configuration and serve."""
-    with open(sys.argv[1], "rb") as file:
-        config = tomllib.load(file)
-    asyncio.run(run(config))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(run))
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -16,6 +16,7 @@
 
 from standins.partner import Clock
 from standins.records import Handed, Heard, Sink, Unsent
+from standins.scripted import packed
 
 PATIENCE_S = 0.4  # s that a client waits for its answer
 CONNECT_S = 0.4  # s for a connection to come up
@@ -120,11 +121,6 @@
     return [float(part) for part in drawn / drawn.sum()]
 
 
-def packed(*words: bytes) -> bytes:
-    """A command as an array of bulk strings."""
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
-
-
 class Front:
     """Deals messages out: to the relay of their place, or past those that it knows as gone."""
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -63,12 +63,12 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """Break a connection the hard way: the peer sees a reset."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.transport.is_closing():
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
+    transport.abort()
 
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -112,4 +112,4 @@
             self._server.close()
             self._server = None
         for writer in list(self.writers):
-            reset(writer)
+            reset(writer.transport)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -145,7 +145,7 @@
     def end_watches(self) -> None:
         """Break every watch."""
         for writer in list(self._watches):
-            http.reset(writer)
+            http.reset(writer.transport)
         self._watches.clear()
 
     def news(self, entries: list[Entry], whole: bool) -> bytes:
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -11,13 +11,14 @@
 import secrets
 import signal
 import socket
-import struct
 import sys
 from collections import deque
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
 
+from standins import http
+
 T = TypeVar("T")
 BOUND_S = 30.0  # a wait that takes longer has failed, however slow the machine
 ROOT = Path(__file__).resolve().parent.parent
@@ -111,9 +112,7 @@
 
     def reset(self) -> None:
         """Break the connection the hard way."""
-        sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        http.reset(self.writer.transport)
 
 
 Reply = Callable[[Request], None]
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import AsyncIterator, Callable
 
 import pytest
 import pytest_asyncio
 
 from fleetlab.links import Condition, Direction, TcpLink, UdpLink
+from standins.http import reset
 from standins.scripted import soon
 
 HERE = "127.0.0.1"
@@ -281,7 +281,7 @@
     link.apply(FAULT, CUT, "back")
     writer.write_eof()
     await until(lambda: echo.ends == ["clean"])
-    reset_by_peer(writer)
+    reset(writer.transport)  # and the loop has no time to see it
     link.lift(FAULT)
     reader, writer = await called(link)
     writer.write(b"y")
@@ -297,10 +297,3 @@
     await until(lambda: bytes(echo.came) == b"written" and gone)
     await asyncio.sleep(0.05)
     assert len(gone) == 1
-
-
-def reset_by_peer(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection and leave the loop no time to see it."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
