Pair a fault's beginning with its end, and time a delivery, in one place of the checkers

Need: three places paired the records of a fault, five worked out how long a message took, two whether that was in its aim; a message's stories were sought among all of them once more for each that repeated.

Change: Run.spans (made once a history), Story.took_s and Run.in_aim serve checkers, figures and page; effect_once groups stories by message once; a destination's figures are found by partner_of alone, which has a type now; a rank that nothing has is gone. Judgements are unchanged.

--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -10,12 +10,13 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any
+from functools import cached_property
 
 import msgspec
 
 from fleetlab.scenario import Scenario
 from standins import records
+from standins.partner import Spec
 
 SLACK_S = 0.3  # after a message's time, in which an end still counts
 TOLD_S = 0.05  # by which every time limit is longer on sockets
@@ -89,6 +90,12 @@
         times = [attempt.over for attempt in self.attempts if attempt.end == "delivered"]
         return min(times, default=None)
 
+    @property
+    def took_s(self) -> float | None:
+        """From when the message first came up to its delivery; None without one, or if it was not taken."""
+        delivered = self.delivered
+        return delivered - self.handed.first if self.taken and delivered is not None else None
+
     @property
     def ended(self) -> float | None:
         """When its first end came, delivery or notice; None: never."""
@@ -97,6 +104,17 @@
         return min(times + ([delivered] if delivered is not None else []), default=None)
 
 
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A fault on one of its targets, from its beginning to its end; infinite where it lasted the run."""
+
+    kind: str
+    on: str
+    since: float
+    until: float
+    to: list[str]
+
+
 @dataclass(slots=True)
 class Life:
     """One life of a process."""
@@ -223,6 +241,25 @@
         """When the run ended; an earlier end of the file counts where it broke off."""
         return self.phases.get("over", self.records[-1].t)
 
+    @cached_property
+    def spans(self) -> list[Span]:
+        """Every fault on each of its targets: those that ended in that order, then those that lasted."""
+        begun: dict[tuple[int, str], records.Fault] = {}
+        spans = []
+        for fault in self.faults:
+            for name in fault.on:
+                if fault.phase == "begin":
+                    begun[fault.number, name] = fault
+                elif (start := begun.pop((fault.number, name), None)) is not None:
+                    spans.append(Span(fault.kind, name, start.t, fault.t, fault.to))
+        lasted = [Span(some.kind, name, some.t, float("inf"), some.to) for (_, name), some in begun.items()]
+        return spans + lasted
+
+    def in_aim(self, story: Story) -> bool:
+        """Whether a message was delivered within its class's aim."""
+        took_s = story.took_s
+        return took_s is not None and took_s <= self.classes[story.handed.cls].aim_s
+
     def restart_ready(self, relay: str, t: float) -> float | None:
         """Where a relay was down or coming up at a time: when it was ready again; infinite if never."""
         lives = self.lives.get(relay, [])
@@ -325,16 +362,11 @@
 
 def cut_from_platform(run: Run, relay: str) -> list[tuple[float, float]]:
     """The spans in which a relay's notices could not come: the agent is beside it, so the lab did this."""
-    begun: dict[int, float] = {}
-    spans = []
-    for fault in run.faults:
-        if fault.kind != "cut" or relay not in fault.on or (fault.to and "platform" not in fault.to):
-            continue
-        if fault.phase == "begin":
-            begun[fault.number] = fault.t
-        elif fault.number in begun:
-            spans.append((begun.pop(fault.number), fault.t))
-    return spans + [(since, run.over) for since in begun.values()]
+    return [
+        (span.since, min(span.until, run.over))
+        for span in run.spans
+        if span.kind == "cut" and span.on == relay and (not span.to or "platform" in span.to)
+    ]
 
 
 def one_out(run: Run) -> list[Finding]:
@@ -387,24 +419,23 @@
 
 def effect_once(run: Run) -> list[Finding]:
     """By the endpoints' own record nothing that must not repeat took effect twice, under any of its ids."""
-    effects: dict[int, list[records.Ran]] = defaultdict(list)
-    classes: dict[int, str] = {}
+    messages: dict[int, list[Story]] = defaultdict(list)
     for story in run.stories.values():
-        effects[story.handed.message] += story.ran
-        classes[story.handed.message] = run.classes[story.handed.cls].effect
-    return [
-        Finding(sorted(ran.t for ran in some)[1], f"message {message} took effect {len(some)} times")
-        for message, some in effects.items()
-        if len(some) > 1 and classes[message] != EFFECT_SAFE and not client_repeated(run, message)
-    ]
+        messages[story.handed.message].append(story)
+    found = []
+    for message, stories in messages.items():
+        times = sorted(ran.t for story in stories for ran in story.ran)
+        unsafe = run.classes[stories[0].handed.cls].effect != EFFECT_SAFE
+        if len(times) > 1 and unsafe and not client_repeated(stories):
+            found.append(Finding(times[1], f"message {message} took effect {len(times)} times"))
+    return found
 
 
-def client_repeated(run: Run, message: int) -> bool:
-    """Whether a client handed it in again though an earlier id may have been taken on unheard.
+def client_repeated(stories: list[Story]) -> bool:
+    """Whether a client handed a message in again though an earlier id may have been taken on unheard.
 
     A client that left after 400 ms cannot know; what the relay does under the old id counts for nothing.
     """
-    stories = [story for story in run.stories.values() if story.handed.message == message]
     return any(
         story.heard is None or story.heard.answer in ("patience", "closed", "lab") for story in stories
     )
@@ -502,7 +533,7 @@
     return found
 
 
-def partner_of(run: Run, dest: int) -> Any:
+def partner_of(run: Run, dest: int) -> Spec:
     """A destination's figures."""
     return next(partner for partner in run.scenario.partners if partner.dest == dest)
 
@@ -539,15 +570,7 @@
 
 def disturbed(run: Run, relay: str, since: float, until: float) -> bool:
     """Whether a fault on a relay, or its end, lay within a span."""
-    begun: dict[int, float] = {}
-    for fault in run.faults:
-        if relay not in fault.on:
-            continue
-        if fault.phase == "begin":
-            begun[fault.number] = fault.t
-        elif (start := begun.pop(fault.number, None)) is not None and start <= until and fault.t >= since:
-            return True
-    if any(start <= until for start in begun.values()):
+    if any(span.on == relay and span.since <= until and span.until >= since for span in run.spans):
         return True
     return run.restart_ready(relay, until) is not None or restarted(run, relay, since, until)
 
@@ -667,7 +690,7 @@
     }
 
 
-RANK = {"": -1, "unanswered": 0, "refused": 1, "open": 2, "lost": 3, "failed": 4, "delivered": 5}
+RANK = {"": -1, "unanswered": 0, "refused": 1, "lost": 2, "failed": 3, "delivered": 4}
 
 
 def became(story: Story) -> str:
@@ -689,8 +712,7 @@
     for story in run.stories.values():
         cls = run.classes[story.handed.cls]
         asked[story.handed.message] = cls.worth
-        delivered = story.delivered
-        if story.taken and delivered is not None and delivered - story.handed.first <= cls.aim_s:
+        if run.in_aim(story):
             got[story.handed.message] = cls.worth
     return sum(got.values()) / max(1e-9, sum(asked.values()))
 
@@ -722,9 +744,7 @@
     good: set[int] = set()
     for story in run.stories.values():
         first[story.handed.message] = min(first.get(story.handed.message, float("inf")), story.handed.first)
-        delivered = story.delivered
-        aim_s = run.classes[story.handed.cls].aim_s
-        if story.taken and delivered is not None and delivered - story.handed.first <= aim_s:
+        if run.in_aim(story):
             good.add(story.handed.message)
     seconds: dict[int, tuple[int, int]] = defaultdict(lambda: (0, 0))
     for message, t in first.items():
--- a/fleetlab/report.py
+++ b/fleetlab/report.py
@@ -12,7 +12,7 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
-from fleetlab.checks import Finding, Result, Run, became
+from fleetlab.checks import Finding, Result, Run, became, partner_of
 
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 MOST_MS = 120_000
@@ -95,9 +95,9 @@
     for name in run.classes:
         histogram = HdrHistogram(1, MOST_MS, 3)
         for story in run.stories.values():
-            delivered = story.delivered
-            if story.handed.cls == name and story.taken and delivered is not None:
-                histogram.record_value(min(MOST_MS, max(1, round((delivered - story.handed.first) * 1000))))
+            took_s = story.took_s
+            if story.handed.cls == name and took_s is not None:
+                histogram.record_value(min(MOST_MS, max(1, round(took_s * 1000))))
         count = histogram.get_total_count()
         values = [str(histogram.get_value_at_percentile(item)) if count else "-" for item in PERCENTILES]
         table.append([name, str(count), *values, str(histogram.get_max_value()) if count else "-"])
@@ -128,7 +128,7 @@
     for host, dest in run.head.endpoints.items():
         some = [attempt for attempt in run.attempts if attempt.host == host]
         ends = Counter(attempt.end for attempt in some)
-        limit = next(item.limit_per_s for item in run.scenario.partners if item.dest == dest)
+        limit = partner_of(run, dest).limit_per_s
         used = f"{ends['delivered'] / seconds / limit:.0%}" if limit else "no limit"
         numbers = [len(some), ends["delivered"], ends["failed"], ends["refused"], ends[""]]
         table.append([host, *map(str, numbers), used])
@@ -194,9 +194,9 @@
 def latency_line(run: Run, axis: Axes) -> None:
     """Each delivery, by when its message first came up."""
     points = [
-        (story.handed.first, max(1e-3, delivered - story.handed.first))
+        (story.handed.first, max(1e-3, took_s))
         for story in run.stories.values()
-        if story.taken and (delivered := story.delivered) is not None
+        if (took_s := story.took_s) is not None
     ]
     axis.semilogy([t for t, _ in points], [took for _, took in points], ".", markersize=2.5, color="#33658a")
     axis.set_ylabel("seconds to delivery")
@@ -204,19 +204,10 @@
 
 def fault_line(run: Run, axis: Axes) -> None:
     """A bar for each fault on each of its targets."""
-    begun: dict[tuple[int, str], float] = {}
-    bars: list[tuple[str, float, float]] = []
-    for fault in run.faults:
-        for name in fault.on:
-            if fault.phase == "begin":
-                begun[fault.number, name] = fault.t
-            elif (start := begun.pop((fault.number, name), None)) is not None:
-                bars.append((f"{fault.kind} {name}", start, fault.t))
-    notes = {(fault.number, name): fault.kind for fault in run.faults for name in fault.on}
-    bars += [(f"{notes[key]} {key[1]}", start, run.over) for key, start in begun.items()]
-    for row, (label, start, end) in enumerate(bars):
-        axis.barh(row, max(0.05, end - start), left=start, color="#b3402e", alpha=0.6)
-        axis.text(start, row, f" {label}", va="center", fontsize=7)
+    for row, span in enumerate(run.spans):
+        until = min(span.until, run.over)
+        axis.barh(row, max(0.05, until - span.since), left=span.since, color="#b3402e", alpha=0.6)
+        axis.text(span.since, row, f" {span.kind} {span.on}", va="center", fontsize=7)
     axis.set_yticks([])
     axis.set_ylabel("faults")
     axis.invert_yaxis()
