Drop state that nobody reads from the lab, the stand-ins and the leases

Change: a partner's fallen flag, the clients' counts and lateness, the lab's copy of its lateness (the history has it), limits on memory and disk that the fleet never applied (a relay is told them by its configuration, as before), a mark of unsure requests, a count of messages that a peer dropped.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -64,8 +64,6 @@
     """What a process may use."""
 
     sockets: int = 1024
-    memory_mb: int = 192
-    disk_mb: float = 3.0
     file_bytes: int = 0  # the largest file that it may write; 0: its log's bound
 
 
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -96,7 +96,6 @@
         self._links: dict[tuple[str, str], TcpLink] = {}
         self._ports: dict[str, int] = {}  # of further processes: where each tells that it is ready
         self._tasks: set[asyncio.Task[None]] = set()
-        self.late_s = 0.0
         self._broken: list[BaseException] = []
 
     async def play(self) -> None:
@@ -205,7 +204,7 @@
     async def _start(self, command: str) -> None:
         """Every process, until all of them answer."""
         scenario = self.scenario
-        limits = Limits(scenario.sockets, scenario.memory_mb, scenario.disk_mb)
+        limits = Limits(scenario.sockets)
         for name, address in self._addresses.items():
             self.fleet.add(name, command, self._config(name, address), self._told(name, address), limits)
         for program in scenario.program:
@@ -334,7 +333,6 @@
             due_s = self._clock.now() + TICK_S
             await asyncio.sleep(TICK_S)
             late_s = self._clock.now() - due_s
-            self.late_s = max(self.late_s, late_s)
             if late_s > NOTED_LAG_S:
                 self.history(records.Lag(self._clock.now(), round(late_s, 4)))
 
--- a/fleetlab/sim/quorum.py
+++ b/fleetlab/sim/quorum.py
@@ -229,7 +229,6 @@
     asking: Asking
     tries: int = 0
     over: bool = False
-    unsure: bool = False  # a try may have been done unheard
 
 
 class Holder:
@@ -265,7 +264,6 @@
 
     def _missed(self, ask: Ask, number: int) -> None:
         if not ask.over and ask.tries == number:
-            ask.unsure = True
             self.leader = ""
             self._try(ask)
 
@@ -273,7 +271,6 @@
         if ask.over or ask.tries != number or self.ended:
             return
         if isinstance(answer, Elsewhere | Unknown):
-            ask.unsure |= isinstance(answer, Unknown)
             self.leader = answer.leader if isinstance(answer, Elsewhere) else ""
             self.sim.world.after(self.sim.world.random.randint(5_000, 60_000), lambda: self._try(ask))
             return
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -44,13 +44,11 @@
     def __init__(self, own: str, name: str, address: Address, random: Random) -> None:
         self._own, self.name, self._address, self._random = own, name, address, random
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(MOST_QUEUED)
-        self.dropped = 0
 
     def send(self, message: Message) -> None:
         """Put a message on its way."""
         if self._queue.full():
             self._queue.get_nowait()
-            self.dropped += 1
         self._queue.put_nowait(frame(message))
 
     async def run(self) -> None:
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -187,8 +187,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
         self.taken: dict[str, Taken] = {}  # by ref: what a relay took on and nobody has seen ended
-        self.counts: Counter[str] = Counter()
-        self.latest_s = 0.0  # how late the lab has handed a message in, at most
 
     async def play(self, messages: list[Message]) -> None:
         """Hand every message in at its time."""
@@ -196,7 +194,6 @@
             pause_s = message.at_s - self._clock.now()
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
-            self.latest_s = max(self.latest_s, self._clock.now() - message.at_s)
             self._start(message, self._clock.now(), 0, 0.0)
 
     def ended(self, ref: str, result: str, wait_ms: int = 0) -> None:
@@ -225,7 +222,6 @@
             if deadline_s - self._clock.now() < LEAST_LEFT_S:
                 return
             answer, wait_ms = await self._hand_in(message, first_s, deadline_s, tries + 1)
-            self.counts[answer] += 1
             if answer in ("ok", "error"):
                 return
             pause_s = self._pause_s(message, tries, wait_ms)
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -101,7 +101,6 @@
         self.limit_per_s = spec.limit_per_s
         self.serving = {host: Serving() for host in spec.hosts}
         self.trouble = {host: Trouble() for host in spec.hosts}
-        self.fallen = False
         self._span, self._in_span = -1, 0
         self._cold_since_s: float | None = None
         self._arrived: deque[float] = deque()  # calls and probes while it is cold
@@ -120,7 +119,7 @@
 
     def return_cold(self, now_s: float) -> None:
         """An outage is over."""
-        self._cold_since_s, self.fallen = now_s, False
+        self._cold_since_s = now_s
         self._arrived.clear()
 
     def push(self, now_s: float) -> bool:
@@ -132,8 +131,7 @@
         while self._arrived and self._arrived[0] < now_s - self.spec.fall_s:
             self._arrived.popleft()
         most = self.spec.fall_multiple * share * self.spec.per_s * self.spec.fall_s + COLD_SLACK
-        self.fallen = len(self._arrived) > most
-        return self.fallen
+        return len(self._arrived) > most
 
     def _over_limit(self, now_s: float) -> Turned | None:
         """The refusal of a call that comes above the limit."""
