Do once what the leases, the platform's stand-in and the fleet did twice

Need: the members by the log were sought by two loops, a record was written and synced by two, what a command touches was worked out by two; news for several watches were encoded for each, a decoder was made for each post of notices, and a process's peak memory was read by two functions.

Change: one of each: _members_at, write_whole, touched, _compact, a line for all watches, a decoder for all posts, peak_memory_mb. Behaviour is unchanged.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -254,12 +254,11 @@
             return member.cpu_s
         try:
             stat = Path(f"/proc/{member.process.pid}/stat").read_text().rpartition(")")[2].split()
-            status = Path(f"/proc/{member.process.pid}/status").read_text()
+            peak_mb = peak_memory_mb(member.process.pid)
         except OSError:
             return member.cpu_s
         used_s = (int(stat[11]) + int(stat[12])) / CLOCK_TICKS
-        peaks = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM")]
-        member.peak_mb = max(member.peak_mb, int(peaks[0]) / 1024 if peaks else 0.0)
+        member.peak_mb = max(member.peak_mb, peak_mb)
         if last:
             member.cpu_s += used_s
             return member.cpu_s
@@ -273,6 +272,12 @@
         await asyncio.gather(*(self.kill(member) for member in self.members.values()))
 
 
+def peak_memory_mb(pid: int) -> float:
+    """The most memory that a process held; 0 where the system does not tell, ``OSError`` where it is gone."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM")), 0.0)
+
+
 def bound(limits: Limits, parent: int) -> Callable[[], None]:
     """What a child does before it becomes its program: it dies with the lab, and keeps within its limits."""
 
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from fleetlab.fleet import Fleet, Limits, Member, deploy_run, python_run
+from fleetlab.fleet import Fleet, Limits, Member, deploy_run, peak_memory_mb, python_run
 from fleetlab.links import Address, Condition, TcpLink
 from fleetlab.resource import ACTS, Act
 from fleetlab.scenario import LINK, ON_LINKS, ON_PARTNERS, ON_PLATFORM, Fault, Program, Scenario, links_of
@@ -527,7 +527,7 @@
                 endpoint.stop()
         for link in self._links.values():
             link.stop()
-        peak_mb = peak_memory_mb()
+        peak_mb = round(peak_memory_mb(os.getpid()), 1)
         self.history(records.Used(self._clock.now(), "lab", round(time.process_time(), 3), peak_mb))
         self.history.close()
 
@@ -542,13 +542,6 @@
     return sum((at + 1) * byte for at, byte in enumerate(name.encode())) % DISTINCT
 
 
-def peak_memory_mb() -> float:
-    """The most memory that this process held."""
-    lines = Path(f"/proc/{os.getpid()}/status").read_text().splitlines()
-    peaks = [int(line.split()[1]) for line in lines if line.startswith("VmHWM")]
-    return round(peaks[0] / 1024, 1) if peaks else 0.0
-
-
 def at(host: str, port: int) -> Address:
     """An address that does not change."""
     return host, port
--- a/mallowquorum/member.py
+++ b/mallowquorum/member.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -96,6 +96,11 @@
     """Nobody wants to know."""
 
 
+def touched(command: Command, known: Iterable[str]) -> list[str]:
+    """The leases that a command may have changed: the end of a session any of those that are known."""
+    return list(known) if isinstance(command, machine.Close) else [getattr(command, "lease", "")]
+
+
 class Member:
     """One member of a quorum."""
 
@@ -187,12 +192,15 @@
 
     def compact(self) -> list[Out]:
         """Put what is applied into a snapshot."""
-        self._carry(self.raft.compact(self.applied, self.machine.snapshot()))
+        self._compact()
         return self._taken()
 
+    def _compact(self) -> None:
+        self._carry(self.raft.compact(self.applied, self.machine.snapshot()))
+
     def _taken(self) -> list[Out]:
         if len(self.raft.log) > COMPACT_AT and self.applied > self.raft.log.snapshot.index:
-            self._carry(self.raft.compact(self.applied, self.machine.snapshot()))
+            self._compact()
         out, self._out = self._out, []
         return out
 
@@ -280,16 +288,12 @@
 
     def _clock(self, command: Command, answer: Answer) -> None:
         """Start, restart or stop a lease's clock after a command."""
-        names = [command.lease] if isinstance(command, Acquire | Renew | Expire | Free) else []
-        if isinstance(answer, Done):
-            for name in names:
-                if name in self.machine.state.leases:
-                    self._start_clock(name)
-        for name in (
-            list(self._clocks) if isinstance(command, machine.Close) else [getattr(command, "lease", "")]
-        ):
+        counts = isinstance(answer, Done) and isinstance(command, Acquire | Renew | Expire | Free)
+        for name in touched(command, self._clocks):
             if name not in self.machine.state.leases:
                 self._clocks.pop(name, None)
+            elif counts:
+                self._start_clock(name)
 
     def _run_out(self) -> None:
         """Propose the end of every lease and delay whose time is up."""
@@ -320,9 +324,7 @@
         """A lease that came free goes to the one that waits longest; the others are not stirred."""
         if isinstance(command, Acquire):
             self._granting.discard(command.lease)
-        for name in (
-            list(self._waiters) if isinstance(command, machine.Close) else [getattr(command, "lease", "")]
-        ):
+        for name in touched(command, self._waiters):
             if name in self._waiters and name not in self.machine.state.leases and name not in self._granting:
                 waiter = self._waiters[name].popleft()
                 self._waiting -= 1
--- a/mallowquorum/raft.py
+++ b/mallowquorum/raft.py
@@ -121,11 +121,7 @@
 
     def _members_now(self) -> tuple[str, ...]:
         """The members by the last entry that names them, committed or not (thesis, 4.1)."""
-        for index in range(self.log.last, self.log.first - 1, -1):
-            entry = self.log.at(index)
-            if entry.kind == MEMBERS:
-                return msgspec.msgpack.decode(entry.data, type=tuple[str, ...])
-        return self.log.snapshot.members
+        return self._members_at(self.log.last)
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -252,6 +248,7 @@
         return self._taken()
 
     def _members_at(self, index: int) -> tuple[str, ...]:
+        """The members by the last entry up to an index that names them."""
         for at in range(index, self.log.first - 1, -1):
             entry = self.log.at(at)
             if entry.kind == MEMBERS:
--- a/mallowquorum/store.py
+++ b/mallowquorum/store.py
@@ -96,6 +96,13 @@
     return bool(size) and len(body) == size and zlib.crc32(body) == int(checksum)
 
 
+def write_whole(handle: int, data: bytes) -> None:
+    """Write all of it and make it durable; ``OSError`` where the disk refuses, perhaps behind a part."""
+    while data:
+        data = data[os.write(handle, data) :]
+    os.fsync(handle)
+
+
 class Store:
     """The file; its calls block, and whoever runs a loop makes them elsewhere."""
 
@@ -131,10 +138,7 @@
         records = [Written(item.hard, item.first, item.entries, item.snapshot) for item in writes]
         size = os.fstat(self._file).st_size
         try:
-            data = b"".join(map(record_of, records))
-            while data:
-                data = data[os.write(self._file, data) :]
-            os.fsync(self._file)
+            write_whole(self._file, b"".join(map(record_of, records)))
         except OSError:
             os.ftruncate(self._file, size)  # half a record before others would be damage
             raise
@@ -145,10 +149,7 @@
         new = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         snapshot = saved.snapshot if saved.snapshot.members else None
         whole = Written(saved.hard, saved.snapshot.index + 1, saved.entries, snapshot)
-        data = record_of(whole)
-        while data:
-            data = data[os.write(new, data) :]
-        os.fsync(new)
+        write_whole(new, record_of(whole))
         os.rename(path, self._path)
         os.close(self._file)
         self._file = new
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,6 +28,9 @@
     wait_ms: int = 0
 
 
+DECODE_NOTICE = msgspec.json.Decoder(Notice).decode
+
+
 @dataclass(slots=True)
 class Entry:
     """An endpoint on the list."""
@@ -157,8 +160,9 @@
         """News to this relay's watches; it counts as told only where it can come."""
         if self._platform.state.gone or not self._watches:
             return
+        line = self.news(entries, whole) + b"\n"
         for writer in self._watches:
-            chunk(writer, self.news(entries, whole) + b"\n")
+            chunk(writer, line)
         self._note(entries, whole)
 
     def _note(self, entries: list[Entry], whole: bool) -> None:
@@ -202,9 +206,8 @@
 
     def _noticed(self, body: bytes) -> int:
         """The status for a post of notices; each that can be read counts."""
-        decode = msgspec.json.Decoder(Notice).decode
         try:
-            notices = [decode(line) for line in body.splitlines()]
+            notices = [DECODE_NOTICE(line) for line in body.splitlines()]
         except msgspec.DecodeError:
             return 400
         for notice in notices:
