--- a/demo.sh
+++ b/demo.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 test -d .lab-venv || python3 -m venv .lab-venv
-.lab-venv/bin/pip install --quiet --disable-pip-version-check --requirement requirements-lab.txt
+.lab-venv/bin/pip install --quiet --disable-pip-version-check --requirement requirements-fleet.txt \
+    --requirement requirements-lab.txt
 exec .lab-venv/bin/python -m fleetlab demo "$@"
