--- a/mallowquorum/__main__.py
+++ b/mallowquorum/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m mallowquorum CONFIG`` runs a member; with ``--status`` it asks all members instead."""
+"""``python -m mallowquorum CONFIG`` runs a member; ``... COMMAND CONFIG`` is for operators."""
 
 from __future__ import annotations
 
@@ -6,18 +6,25 @@
 import logging
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import structlog
 import typer
 
-from mallowquorum.client import QuorumError, status
-from mallowquorum.config import Config, ConfigError, address_of, load
+from mallowquorum import wire
+from mallowquorum.client import QuorumError, call, leader_of, order, status
+from mallowquorum.config import Address, ConfigError, address_of, load
+from mallowquorum.machine import restored
+from mallowquorum.messages import Snapshot
 from mallowquorum.server import Server
-from mallowquorum.store import StoreError
+from mallowquorum.store import StoreError, replace_file, restore
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+ConfigFile = Annotated[Path, typer.Argument(metavar="CONFIG", help="The TOML file of any member.")]
+Json = Annotated[bool, typer.Option("--json", help="Print it as JSON.")]
 
 
 def log_lines() -> None:
@@ -33,57 +40,156 @@
     )
 
 
-async def serve(config: Config) -> None:
-    """Run a member until SIGTERM or SIGINT."""
+async def serve(path: Path) -> None:
+    """Run a member until SIGTERM or SIGINT; SIGHUP reads the members' addresses again."""
     over = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
-    server = Server(config)
+    server = Server(load(path))
+
+    def reload() -> None:
+        try:
+            server.reload(load(path))
+        except ConfigError as error:
+            structlog.get_logger("mallowquorum").error("not read again", why=str(error))
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await server.start()
     await over.wait()
     await server.stop()
 
 
-async def ask_all(config: Config) -> int:
-    """A line for each member; 1 where there is no leader among those that answer."""
+def addresses(path: Path) -> dict[str, Address]:
+    """The members of a configuration file."""
+    return {name: address_of(text) for name, text in load(path).members.items()}
+
+
+@app.command()
+def run(config: Annotated[Path, typer.Argument(help="The member's TOML file.")]) -> None:
+    """A member of a quorum that keeps leases."""
+    log_lines()
+    asyncio.run(serve(config))
+
+
+def line_of(health: wire.Health) -> str:
+    """A member in one line."""
+    behind = ", ".join(f"{other} {lag}" for other, lag in sorted(health.lag.items()))
+    turned = "; ".join(f"{other} does not listen: {why}" for other, why in sorted(health.turned.items()))
+    return (
+        f"{health.name}: {health.role} of term {health.term}, leader {health.leader or 'unknown'}, "
+        f"commit {health.commit}, {health.leases} leases, members {' '.join(health.members)}"
+        + (f", entries behind: {behind}" if behind else "")
+        + (f", disk: {health.disk}" if health.disk else "")
+        + (f", full: {' '.join(health.full)}" if health.full else "")
+        + (f", {turned}" if turned else "")
+    )
+
+
+async def ask_all(members: dict[str, Address], as_json: bool) -> bool:
+    """A line for each member; whether one leads among those that answer."""
     leads = False
-    for name, address in sorted(config.members.items()):
+    for name, address in sorted(members.items()):
         try:
-            health = await status(address_of(address))
+            health = await status(address)
         except QuorumError as error:
-            print(f"{name}: {error}")
+            print(
+                msgspec.json.encode({"name": name, "error": str(error)}).decode()
+                if as_json
+                else f"{name}: {error}"
+            )
             continue
         leads |= health.role == "leader"
-        behind = ", ".join(f"{other} {lag}" for other, lag in sorted(health.lag.items()))
-        print(
-            f"{name}: {health.role} of term {health.term}, leader {health.leader or 'unknown'}, "
-            f"commit {health.commit}, {health.leases} leases"
-            + (f", entries behind: {behind}" if behind else "")
-            + (f", disk: {health.disk}" if health.disk else "")
-        )
-    return 0 if leads else 1
+        print(msgspec.json.encode(health).decode() if as_json else line_of(health))
+    return leads
+
+
+@app.command(name="status")
+def status_of_all(config: ConfigFile, as_json: Json = False) -> None:
+    """A line for each member; 1 where none of them leads."""
+    raise typer.Exit(0 if asyncio.run(ask_all(addresses(config), as_json)) else 1)
 
 
 @app.command()
-def run(
-    config: Annotated[Path, typer.Argument(help="The member's TOML file.")],
-    ask: Annotated[bool, typer.Option("--status", help="Ask every member of the file for itself.")] = False,
-) -> None:
-    """A member of a quorum that keeps leases."""
-    log_lines()
+def leases(config: ConfigFile, as_json: Json = False) -> None:
+    """All leases as the leader knows them: holder, token, time left, who waits."""
+
+    async def ask() -> wire.Answer:
+        return await call(await leader_of(addresses(config)), wire.Leases(1))
+
+    listed = asyncio.run(ask())
+    assert isinstance(listed, wire.Listed)
+    if as_json:
+        print(msgspec.json.encode(listed.leases).decode())
+        return
+    for line in listed.leases:
+        holder = line.owner or "nobody (its delay runs)"
+        left = f"{line.left_ms} of {line.ttl_ms} ms left"
+        print(f"{line.name}: {holder}, token {line.token}, {left}, {line.waiting} wait")
+
+
+@app.command(name="step-down")
+def step_down(config: ConfigFile) -> None:
+    """Let another member lead."""
+    asyncio.run(order(addresses(config), wire.StepDown(1)))
+
+
+@app.command()
+def add(config: ConfigFile, name: str) -> None:
+    """Add a member, whose address all members' files have."""
+    asyncio.run(order(addresses(config), wire.Change(1, add=name)))
+
+
+@app.command()
+def remove(config: ConfigFile, name: str) -> None:
+    """Take a member out."""
+    asyncio.run(order(addresses(config), wire.Change(1, remove=name)))
+
+
+@app.command()
+def snapshot(config: ConfigFile, file: Annotated[Path, typer.Argument(help="Where the copy goes.")]) -> None:
+    """Keep a copy of what the leader has applied."""
+
+    async def ask() -> wire.Answer:
+        return await call(await leader_of(addresses(config)), wire.Copy(1), 10.0)
+
+    copied = asyncio.run(ask())
+    assert isinstance(copied, wire.Copied)
+    with suppress(OSError):
+        file.unlink()
+    replace_file(file, msgspec.msgpack.encode(copied.snapshot))
+    print(f"{file}: the state after entry {copied.snapshot.index}")
+
+
+@app.command(name="restore")
+def restore_folder(config: ConfigFile, file: Annotated[Path, typer.Argument(help="A copy.")]) -> None:
+    """Make the folder of this file's member from a copy: all members of a new quorum from the same one.
+
+    Before they start, the longest lease time in use has to have passed since the last old member ended.
+    """
     loaded = load(config)
-    if ask:
-        raise typer.Exit(asyncio.run(ask_all(loaded)))
-    asyncio.run(serve(loaded))
+    try:
+        copy = msgspec.msgpack.decode(file.read_bytes(), type=Snapshot)
+        data = restored(copy.data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{file}: no copy of a quorum: {error}") from None
+    restore(Path(loaded.folder), Snapshot(copy.index, copy.term, loaded.first_members, data))
+    print(f"{loaded.folder}: begins after entry {copy.index}; members {' '.join(loaded.first_members)}")
 
 
 def main() -> int:
-    """Run; 2 and one line where something cannot be used."""
+    """Run; 2 and one line where something cannot be used, 1 where a quorum does not do what was asked."""
+    arguments = sys.argv[1:]
+    known = {item.name or getattr(item.callback, "__name__", "") for item in app.registered_commands}
+    if arguments and arguments[0] not in known and not arguments[0].startswith("-"):
+        arguments = ["run", *arguments]
     try:
-        return int(app(standalone_mode=False) or 0)
+        return int(app(arguments, standalone_mode=False) or 0)
     except typer.Exit as end:
         return end.exit_code
+    except QuorumError as error:
+        print(f"mallowquorum: {error}", file=sys.stderr)
+        return 1
     except (ConfigError, StoreError, OSError) as error:
         print(f"mallowquorum: {error}", file=sys.stderr)
     except Exception as error:
--- a/mallowquorum/client.py
+++ b/mallowquorum/client.py
@@ -12,13 +12,11 @@
 from dataclasses import dataclass
 from random import Random
 
-import msgspec
-
 from mallowquorum import wire
 from mallowquorum.config import Address
 from mallowquorum.holder import Asking, Bounds, Holding
-from mallowquorum.machine import Acquire, Answer, Done, Held, Open, Put, Refused, Release, Renew
-from mallowquorum.member import Elsewhere, Read, Request, Response, Told, Unknown, Wait
+from mallowquorum.machine import Acquire, Answer, Close, Done, Held, Open, Put, Refused, Release, Renew
+from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
 from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
 
 TRY_S = 0.5  # s for one try, beside what the request itself may wait
@@ -44,7 +42,7 @@
 
 
 class Client:
-    """One session."""
+    """One session: its requests go one after the other, whoever makes them."""
 
     def __init__(self, members: Mapping[str, Address], owner: str, random: Random | None = None) -> None:
         self._members, self._owner, self._random = dict(members), owner, random or Random()
@@ -52,17 +50,27 @@
         self._connection: tuple[str, asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._number = 0  # of requests on the connection
         self._session, self._seq = 0, 0
+        self._turn = asyncio.Lock()
 
     async def ask(self, request: Request, within_s: float) -> Got:
         """Ask until the answer is certain; ``QuorumError`` where that takes longer."""
-        asking, pause_s = Asking(), PAUSES_S[0]
+        try:
+            async with asyncio.timeout(within_s + TRY_S), self._turn:
+                return await self._ask(request, within_s)
+        except TimeoutError:
+            raise QuorumError(f"no certain answer within {within_s:g} s") from None
+
+    async def _ask(self, request: Request, within_s: float) -> Got:
+        asking, pause_s, repeated = Asking(), PAUSES_S[0], False
         until_us = now_us() + int(within_s * 1e6)
-        waits_s = request.wait_ms / 1000 if isinstance(request, Wait) else 0.0
+        waits_s = request.wait_ms / 1000 if isinstance(request, Wait | Watch) else 0.0
         while now_us() < until_us:
             asking.sent(now_us())
             response = await self._try(request, TRY_S + waits_s)
-            if response is not None and not isinstance(response, Elsewhere | Unknown):
+            certain = response is not None and not isinstance(response, Elsewhere | Unknown)
+            if response is not None and certain and not (repeated and isinstance(response, NoRoom)):
                 return Got(response, asking.counts_from_us)
+            repeated |= not isinstance(response, Elsewhere)
             if isinstance(response, Elsewhere) and response.leader in self._members:
                 moved = self._leader != response.leader
                 self._leader = response.leader
@@ -83,13 +91,16 @@
             writer.write(frame(wire.Ask(self._number, request)))
             async with asyncio.timeout(try_s):
                 while body := await wire.read_frame(reader, MOST_FRAME):
-                    told = wire.decoded(wire.told_decoder, body)
-                    if told.number == self._number:
+                    told = wire.decoded(wire.answer_decoder, body)
+                    if told.number == self._number and isinstance(told, wire.Told):
                         if not isinstance(told.response, Elsewhere):
                             self._leader = name
                         return told.response
         except (OSError, TimeoutError, WireError):
             pass
+        except asyncio.CancelledError:
+            self.close()  # half an answer may be read
+            raise
         self.close()
         return None
 
@@ -116,6 +127,13 @@
             raise QuorumError(f"no session: {got.response}")
         self._session, self._seq = got.response.session, 0
 
+    async def end(self, within_s: float) -> None:
+        """End the session in order: whatever it holds is free at once."""
+        if self._session:
+            await self.ask(Close(self._session, self._next()), within_s)
+            self._session = 0
+        self.close()
+
     def _next(self) -> int:
         self._seq += 1
         return self._seq
@@ -142,9 +160,23 @@
             raise QuorumError(f"not read: {got.response}")
         return got.response
 
-    async def put(self, key: str, version: int, value: bytes, within_s: float) -> Answer:
-        """Write a record, if its version is that one."""
-        got = await self.ask(Put(self._session, self._next(), key, version, value), within_s)
+    async def watch(
+        self, *, lease: str = "", key: str = "", seen: Told | None = None, wait_ms: int, within_s: float
+    ) -> Told:
+        """What a lease or a record is, once it differs from what was seen, or after so long."""
+        seen = seen or Told()
+        token = seen.token if seen.owner else 0
+        got = await self.ask(Watch(lease, key, token, seen.version, wait_ms), within_s)
+        if not isinstance(got.response, Told):
+            raise QuorumError(f"not watched: {got.response}")
+        return got.response
+
+    async def put(
+        self, key: str, version: int, value: bytes, *, lease: str = "", token: int = 0, within_s: float
+    ) -> Answer:
+        """Write a record, if its version is that one; with a lease only while that is in force."""
+        put = Put(self._session, self._next(), key, version, value, lease, token)
+        got = await self.ask(put, within_s)
         if not isinstance(got.response, Done | Held | Refused):
             raise QuorumError(f"not written: {got.response}")
         return got.response
@@ -201,20 +233,59 @@
         return self.holding.may_act(now_us())
 
 
-def health_of(body: bytes) -> wire.Health:
-    """A member's own report."""
-    return wire.decoded(wire.health_decoder, body)
-
-
-async def status(address: Address, within_s: float = 2.0) -> wire.Health:
-    """Ask one member for itself; ``QuorumError`` where it does not answer."""
+async def call(address: Address, asked: wire.Asked, within_s: float = 2.0) -> wire.Answer:
+    """Ask one member one thing as an operator; ``QuorumError`` where it does not answer."""
     try:
         async with asyncio.timeout(within_s):
             reader, writer = await asyncio.open_connection(*address)
             try:
-                writer.write(frame(Hello(VERSION)) + frame(wire.Status(1)))
-                return health_of(await wire.read_frame(reader, MOST_FRAME))
+                writer.write(frame(Hello(VERSION)) + frame(asked))
+                body = await wire.read_frame(reader, MOST_FRAME)
+                if not body:
+                    raise WireError("it ended the connection")
+                return wire.decoded(wire.answer_decoder, body)
             finally:
                 writer.close()
-    except (OSError, TimeoutError, WireError, msgspec.DecodeError) as error:
-        raise QuorumError(f"{address[0]}:{address[1]} does not answer: {error!r}") from None
+    except (OSError, TimeoutError, WireError) as error:
+        why = str(error) or "no answer in time"
+        raise QuorumError(f"{address[0]}:{address[1]} does not answer: {why}") from None
+
+
+async def status(address: Address, within_s: float = 2.0) -> wire.Health:
+    """Ask one member for itself; ``QuorumError`` where it does not answer."""
+    answer = await call(address, wire.Status(1), within_s)
+    if not isinstance(answer, wire.Health):
+        raise QuorumError(f"{address[0]}:{address[1]} answers something else")
+    return answer
+
+
+async def leader_of(members: Mapping[str, Address]) -> Address:
+    """Where the member is that leads, by the latest term that any tells; ``QuorumError`` where none does."""
+    found = [(0, "")]
+    for address in members.values():
+        try:
+            health = await status(address)
+        except QuorumError:
+            continue
+        found.append((health.term, health.leader))
+    leader = max(found)[1]
+    if leader not in members:
+        raise QuorumError("no member leads")
+    return members[leader]
+
+
+async def order(members: Mapping[str, Address], asked: wire.Asked, within_s: float = 5.0) -> None:
+    """Have the leader do something; ``QuorumError`` with its reason where it does not."""
+    answer = await call(await leader_of(members), asked, within_s)
+    response = answer.response if isinstance(answer, wire.Told) else answer
+    match response:
+        case Done():
+            return
+        case Refused():
+            raise QuorumError(response.why)
+        case NoRoom():
+            raise QuorumError(response.why)
+        case Elsewhere() | Unknown():
+            raise QuorumError("the leader has changed: look at the members, and ask again")
+        case _:
+            raise QuorumError(f"it answers something else: {type(response).__name__}")
--- a/mallowquorum/machine.py
+++ b/mallowquorum/machine.py
@@ -8,8 +8,12 @@
 
 import msgspec
 
+from mallowquorum.lives import MOST_SHUNNED
+
 MOST_SESSIONS, MOST_LEASES, MOST_RECORDS = 8192, 4096, 4096
 MOST_NAME, MOST_VALUE = 128, 64 * 1024  # bytes of a name and of a record
+MOST_BYTES = 8 * 1024 * 1024  # of all records: the state has to pass in one frame
+RESTORED_TOKENS = 1_000_000_000  # more than any quorum gives between a copy and its restoration
 MOST_TTL_MS, LEAST_TTL_MS = 600_000, 100
 MOST_DELAY_MS = 600_000
 
@@ -85,8 +89,14 @@
     token: int
 
 
+class Shun(msgspec.Struct, frozen=True, tag="shun"):
+    """The leader's: a member's folder has forgotten a promise, and is not to be heard."""
+
+    folder: str
+
+
 Asked = Open | Close | Acquire | Renew | Release | Put
-Command = Asked | Expire | Free
+Command = Asked | Expire | Free | Shun
 
 
 class Done(msgspec.Struct, frozen=True, tag="done"):
@@ -147,6 +157,8 @@
     sessions: dict[int, Session] = {}
     leases: dict[str, Lease] = {}
     records: dict[str, Item] = {}
+    bytes: int = 0  # of all records' values
+    shunned: list[str] = []  # folders, the latest last
 
 
 _COMMANDS = msgspec.msgpack.Decoder(Command)
@@ -178,6 +190,25 @@
     return ""
 
 
+def grows(command: Command) -> bool:
+    """Whether a command may make the state larger."""
+    return isinstance(command, Open | Acquire) or (isinstance(command, Put) and bool(command.value))
+
+
+def restored(data: bytes) -> bytes:
+    """The state of a copy that a new quorum begins from.
+
+    What was given since the copy is not known: tokens go on far above it, sessions are over, and what was
+    held is held by nobody for its full time and delay.
+    """
+    state = _STATES.decode(data)
+    state.token += RESTORED_TOKENS
+    state.sessions.clear()
+    for lease in state.leases.values():
+        lease.session, lease.owner, lease.delay_ms = 0, "", lease.delay_ms + lease.ttl_ms
+    return msgspec.msgpack.encode(state)
+
+
 class Machine:
     """The state, and how a command changes it."""
 
@@ -204,6 +235,10 @@
                 return self._expire(command)
             case Free():
                 return self._free(command)
+            case Shun():
+                others = [folder for folder in self.state.shunned if folder != command.folder]
+                self.state.shunned = [*others, command.folder][-MOST_SHUNNED:]
+                return Done()
             case _:
                 return self._once(index, command)
 
@@ -292,11 +327,16 @@
         version = item.version if item is not None else 0
         if version != command.version:
             return Refused(f"its version is {version}")
+        more = len(command.value) - (len(item.value) if item is not None else 0)
         if not command.value:
             records.pop(command.key, None)
+            self.state.bytes += more
             return Done(version=0)
         if item is None and len(records) >= MOST_RECORDS:
             return Refused(f"there are {MOST_RECORDS} records")
+        if self.state.bytes + more > MOST_BYTES:
+            return Refused(f"all records together would be over {MOST_BYTES} bytes")
+        self.state.bytes += more
         # A record that comes again under its name goes on counting: tokens are never given twice either.
         self.state.token += item is None
         records[command.key] = Item(version + 1 if item is not None else self.state.token, command.value)
--- a/mallowquorum/member.py
+++ b/mallowquorum/member.py
@@ -1,22 +1,18 @@
-"""A member: agreement, the replicated state, and the leader's clocks and waiters. No I/O.
-
-A lease's time runs on the leader's monotonic clock from when its grant or renewal is applied, which is later
-than the holder counts from. A new leader cannot know how much had passed, so it gives every lease, and every
-delay, its full time again (Gray and Cheriton 1989, after a server's restart).
-"""
+"""A member: agreement, the replicated state, and the leader's clocks and waiters. No I/O."""
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
 from mallowquorum import machine
-from mallowquorum.machine import Acquire, Answer, Command, Done, Expire, Free, Held, Machine, Refused, Renew
+from mallowquorum.clocks import Clocks, touched
+from mallowquorum.machine import Acquire, Answer, Command, Done, Held, Machine, Put, Refused, Shun
 from mallowquorum.messages import (
     COMMAND,
+    MEMBERS,
     Action,
     Committed,
     Dropped,
@@ -28,10 +24,12 @@
     Send,
 )
 from mallowquorum.raft import Draw, Raft, Role, Timing
+from mallowquorum.waiting import Waiting
 
 COMPACT_AT = 4096  # entries in the log before it is compacted
 MOST_WAITERS = 4096  # requests that wait for leases
-RETRY_US = 1_000_000  # until an end that was proposed and not committed is proposed again
+MOST_WATCHERS = 4096  # requests that wait for a change
+MOST_WAIT_MS = 600_000
 
 
 class Read(msgspec.Struct, frozen=True, tag="read"):
@@ -48,6 +46,16 @@
     wait_ms: int
 
 
+class Watch(msgspec.Struct, frozen=True, tag="watch"):
+    """``Read`` of one lease or one record, answered once it differs from what is known, or after so long."""
+
+    lease: str = ""
+    key: str = ""
+    token: int = 0  # under which the lease was held when it was last looked at; 0: by nobody
+    version: int = 0  # of the record
+    wait_ms: int = 0
+
+
 class Told(msgspec.Struct, frozen=True, tag="told"):
     """The answer to ``Read``; a version of 0 means that there is no such record, a token of 0 no lease."""
 
@@ -68,8 +76,15 @@
     """It may be done or not: ask again with the same session and number."""
 
 
-Request = machine.Asked | Read | Wait
-Response = Answer | Told | Elsewhere | Unknown
+class NoRoom(msgspec.Struct, frozen=True, tag="no-room"):
+    """It was not taken on, now and here; an earlier try of the same request may have been."""
+
+    why: str
+
+
+Request = machine.Asked | Read | Wait | Watch
+Response = Answer | Told | Elsewhere | Unknown | NoRoom
+FULL = "the disks of the quorum are full"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,25 +95,52 @@
     response: Response
 
 
-Out = Send | Persist | Reply
+@dataclass(frozen=True, slots=True)
+class Together:
+    """The members are these now, as all agree."""
 
+    names: tuple[str, ...]
 
-@dataclass(slots=True)
-class Waiter:
-    """A request that waits for a lease."""
 
-    tag: int
-    acquire: Acquire
-    until_us: int
+@dataclass(frozen=True, slots=True)
+class Shunned:
+    """These folders are not to be heard, as all agree."""
+
+    folders: tuple[str, ...]
+
+
+Out = Send | Persist | Reply | Together | Shunned
 
 
 def unwatched(_action: Committed, _machine: Machine) -> None:
     """Nobody wants to know."""
 
 
-def touched(command: Command, known: Iterable[str]) -> list[str]:
-    """The leases that a command may have changed: the end of a session any of those that are known."""
-    return list(known) if isinstance(command, machine.Close) else [getattr(command, "lease", "")]
+def fault_of(request: Request) -> str:
+    """What makes a request impossible whatever the state; empty where nothing does."""
+    if isinstance(request, Wait | Watch) and not 0 <= request.wait_ms <= MOST_WAIT_MS:
+        return f"wait_ms is from 0 to {MOST_WAIT_MS}"
+    if isinstance(request, Watch):
+        return "" if bool(request.lease) != bool(request.key) else "a watch is for a lease or for a record"
+    if isinstance(request, Read):
+        return ""
+    return machine.fault_of(request.acquire if isinstance(request, Wait) else request)
+
+
+def watched(command: Command, watching: list[str]) -> list[str]:
+    """What is waited for that a command may have changed, by the names of ``place_of``."""
+    if isinstance(command, Put):
+        return [f"record {command.key}"]
+    return (
+        touched(command, watching)
+        if isinstance(command, machine.Close)
+        else [f"lease {name}" for name in touched(command, ())]
+    )
+
+
+def place_of(request: Watch) -> str:
+    """What a watch is for."""
+    return f"lease {request.lease}" if request.lease else f"record {request.key}"
 
 
 class Member:
@@ -115,6 +157,7 @@
         now_us: int,
         raft: type[Raft] = Raft,
         state: type[Machine] = Machine,
+        clocks: type[Clocks] = Clocks,
         watch: Callable[[Committed, Machine], None] = unwatched,
     ) -> None:
         """Go on from what the disk gave back; ``watch`` is told of each entry once it is applied."""
@@ -123,10 +166,10 @@
         self.machine = state(saved.snapshot.data)
         self.applied = self.raft.commit
         self._now_us = now_us
-        self._clocks: dict[str, tuple[int, int, int]] = {}  # lease: due, token, beat; of a leader alone
+        self._clocks = clocks()
         self._ready = False  # a leader that has applied all of its predecessors
-        self._waiters: OrderedDict[str, deque[Waiter]] = OrderedDict()
-        self._waiting = 0
+        self.waiting: Waiting[Wait] = Waiting(MOST_WAITERS)
+        self.watching: Waiting[Watch] = Waiting(MOST_WATCHERS)
         self._asked: dict[int, Request] = {}  # by tag
         self._inner = 0  # tags of the leader's own proposals are negative
         self._granting: set[str] = set()  # leases for which a waiter's turn is being decided
@@ -137,15 +180,15 @@
     @property
     def due_us(self) -> int:
         """When ``wake`` is due."""
-        times = [self.raft.due_us, *(due for due, _, _ in self._clocks.values())]
-        times += [waiter.until_us for queue in self._waiters.values() for waiter in queue]
-        return min(times)
+        times = (self.raft.due_us, self._clocks.due_us, self.waiting.due_us, self.watching.due_us)
+        return min(time for time in times if time is not None)
 
     def wake(self, now_us: int) -> list[Out]:
         """Time has passed."""
         self._now_us = now_us
         self._carry(self.raft.wake(now_us))
-        self._run_out()
+        if ends := self._clocks.over(now_us):
+            self._propose_own(ends)
         self._give_up()
         return self._taken()
 
@@ -164,13 +207,12 @@
     def request(self, now_us: int, tag: int, request: Request) -> list[Out]:
         """A client's request; it is answered once, now or later."""
         self._now_us = now_us
-        command = request.acquire if isinstance(request, Wait) else request
-        if not isinstance(command, Read) and (fault := machine.fault_of(command)):
+        if fault := fault_of(request):
             self._reply(tag, Refused(fault))
         elif self.raft.role is not Role.LEADER:
             self._reply(tag, Elsewhere(self.raft.leader))
-        elif isinstance(command, Read):
-            self._asked[tag] = command
+        elif isinstance(request, Read | Watch):
+            self._asked[tag] = request
             self._carry(self.raft.read(now_us, tag))
         elif isinstance(request, Wait) and request.wait_ms > 0 and self._queued(tag, request):
             pass
@@ -178,6 +220,13 @@
             self._propose(tag, request)
         return self._taken()
 
+    def gone(self, tags: list[int]) -> None:
+        """Who asked these hears no answer any more: they wait for nothing."""
+        for tag in tags:
+            self.waiting.drop(tag)
+            self.watching.drop(tag)
+            self._asked.pop(tag, None)
+
     def change(self, now_us: int, tag: int, members: tuple[str, ...]) -> list[Out]:
         """An operator adds or removes one member."""
         self._now_us = now_us
@@ -190,6 +239,19 @@
         self._carry(self.raft.step_down(now_us))
         return self._taken()
 
+    def disk(self, now_us: int, full: bool) -> list[Out]:
+        """The disk takes nothing that can wait, or does again."""
+        self._now_us = now_us
+        self._carry(self.raft.disk(now_us, full))
+        return self._taken()
+
+    def shun(self, now_us: int, folder: str) -> list[Out]:
+        """A folder was found to have forgotten a promise: a leader has all members know."""
+        self._now_us = now_us
+        if self.raft.leading is not None and folder not in self.machine.state.shunned:
+            self._propose_own([Shun(folder)])
+        return self._taken()
+
     def compact(self) -> list[Out]:
         """Put what is applied into a snapshot."""
         self._compact()
@@ -211,12 +273,19 @@
 
     def _propose(self, tag: int, request: Request) -> None:
         command = request.acquire if isinstance(request, Wait) else request
+        assert not isinstance(command, Read | Watch)
+        if machine.grows(command) and not self.raft.roomy:
+            self._reply(tag, NoRoom(FULL))
+            return
         self._asked[tag] = request
-        self._carry(self.raft.propose(self._now_us, tag, msgspec.msgpack.encode(command), COMMAND))
+        self._carry(self.raft.propose(self._now_us, tag, msgspec.msgpack.encode(command)))
 
-    def _propose_own(self, command: Command) -> None:
-        self._inner -= 1
-        self._carry(self.raft.propose(self._now_us, self._inner, msgspec.msgpack.encode(command), COMMAND))
+    def _propose_own(self, commands: Sequence[machine.Expire | machine.Free | Shun]) -> None:
+        some = []
+        for command in commands:
+            self._inner -= 1
+            some.append((self._inner, msgspec.msgpack.encode(command)))
+        self._carry(self.raft.propose_all(self._now_us, some))
 
     def _carry(self, actions: list[Action]) -> None:
         for action in actions:
@@ -228,13 +297,13 @@
                 case Restored():
                     self.machine.restore(action.snapshot.data)
                     self.applied = action.snapshot.index
+                    self._out.append(Together(action.snapshot.members))
+                    self._out.append(Shunned(tuple(self.machine.state.shunned)))
                 case Readable():
-                    request = self._asked.get(action.tag)
-                    if isinstance(request, Read):
-                        self._reply(action.tag, self._told(request))
+                    self._readable(action.tag)
                 case Dropped():
                     self._reply(action.tag, Unknown() if action.unknown else Elsewhere(self.raft.leader))
-        if self.raft.role is not Role.LEADER and (self._ready or self._waiting):
+        if self.raft.role is not Role.LEADER and (self._ready or self.waiting or self.watching):
             self._follow()
 
     def _follow(self) -> None:
@@ -242,11 +311,9 @@
         self._ready = False
         self._clocks.clear()
         self._granting.clear()
-        waiters = [waiter for queue in self._waiters.values() for waiter in queue]
-        self._waiters.clear()
-        self._waiting = 0
-        for waiter in waiters:
-            self._reply(waiter.tag, Elsewhere(self.raft.leader))
+        tags = [item.tag for item in self.waiting.drain()] + [item.tag for item in self.watching.drain()]
+        for tag in tags:
+            self._reply(tag, Elsewhere(self.raft.leader))
 
     # Applying
 
@@ -257,18 +324,22 @@
         if action.entry.kind == COMMAND:
             command = machine.command_of(action.entry.data)
             answer = self.machine.apply(action.index, command)
+            if isinstance(command, Shun):
+                self._out.append(Shunned((command.folder,)))
+        elif action.entry.kind == MEMBERS:
+            self._out.append(Together(msgspec.msgpack.decode(action.entry.data, type=tuple[str, ...])))
         self._watch(action, self.machine)
-        leading = self.raft.leading
+        leading, leases = self.raft.leading, self.machine.state.leases
         if leading is not None and not self._ready and action.index >= leading.first:
             self._ready = True
-            for name in self.machine.state.leases:
-                self._start_clock(name)
+            self._clocks.begin(self._now_us, leases)
         elif self._ready and command is not None:
-            self._clock(command, answer)
+            self._clocks.applied(self._now_us, command, answer, leases)
         if action.tag is not None:
             self._answered(action.tag, answer)
         if self._ready and command is not None:
             self._next_waiter(command)
+            self._look_again(command)
 
     def _answered(self, tag: int, answer: Answer) -> None:
         request = self._asked.get(tag)
@@ -278,87 +349,78 @@
                 return
         self._reply(tag, answer)
 
-    def _lease_us(self, lease: machine.Lease) -> int:
-        """The time that a lease has, or its delay."""
-        return (lease.ttl_ms if lease.session else lease.delay_ms) * 1000
-
-    def _start_clock(self, name: str) -> None:
-        lease = self.machine.state.leases[name]
-        self._clocks[name] = (self._now_us + self._lease_us(lease), lease.token, lease.beat)
-
-    def _clock(self, command: Command, answer: Answer) -> None:
-        """Start, restart or stop a lease's clock after a command."""
-        counts = isinstance(answer, Done) and isinstance(command, Acquire | Renew | Expire | Free)
-        for name in touched(command, self._clocks):
-            if name not in self.machine.state.leases:
-                self._clocks.pop(name, None)
-            elif counts:
-                self._start_clock(name)
-
-    def _run_out(self) -> None:
-        """Propose the end of every lease and delay whose time is up."""
-        for name, (due_us, token, beat) in list(self._clocks.items()):
-            if due_us <= self._now_us and name in self._clocks:
-                self._clocks[name] = (self._now_us + RETRY_US, token, beat)
-                held = self.machine.state.leases[name].session
-                self._propose_own(Expire(name, token, beat) if held else Free(name, token))
-
     # Waiting in turn
 
     def _queued(self, tag: int, request: Wait) -> bool:
         """Whether the request waits now; False where the lease is free and nobody is before it."""
         name = request.acquire.lease
         held = name in self.machine.state.leases
-        if not held and name not in self._waiters and name not in self._granting:
+        if not held and name not in self.waiting and name not in self._granting:
             return False
-        if self._waiting >= MOST_WAITERS:
-            self._reply(tag, Refused("too many wait"))
-            return True
-        self._asked[tag] = request
-        until_us = self._now_us + request.wait_ms * 1000
-        self._waiters.setdefault(name, deque()).append(Waiter(tag, request.acquire, until_us))
-        self._waiting += 1
+        if not self.waiting.add(tag, name, request, self._now_us + request.wait_ms * 1000):
+            self._reply(tag, NoRoom("too many wait"))
         return True
 
     def _next_waiter(self, command: Command) -> None:
         """A lease that came free goes to the one that waits longest; the others are not stirred."""
         if isinstance(command, Acquire):
             self._granting.discard(command.lease)
-        for name in touched(command, self._waiters):
-            if name in self._waiters and name not in self.machine.state.leases and name not in self._granting:
-                waiter = self._waiters[name].popleft()
-                self._waiting -= 1
-                if not self._waiters[name]:
-                    del self._waiters[name]
-                self._granting.add(name)
-                self._propose(waiter.tag, waiter.acquire)
+        for name in touched(command, self.waiting.names):
+            while name not in self.machine.state.leases and name not in self._granting:
+                waiter = self.waiting.pop(name)
+                if waiter is None:
+                    break
+                self._propose(waiter.tag, waiter.request.acquire)
+                if waiter.tag in self._asked:
+                    self._granting.add(name)
 
     def _give_up(self) -> None:
-        """Waiters whose time is up are told who holds the lease."""
-        for name, queue in list(self._waiters.items()):
-            over = [waiter for waiter in queue if waiter.until_us <= self._now_us]
-            if not over:
-                continue
-            rest = deque(waiter for waiter in queue if waiter.until_us > self._now_us)
-            self._waiting -= len(over)
-            if rest:
-                self._waiters[name] = rest
-            else:
-                del self._waiters[name]
-            lease = self.machine.state.leases.get(name)
-            for waiter in over:
-                self._reply(waiter.tag, Held(lease.owner, lease.token) if lease is not None else Held("", 0))
+        """Waiters whose time is up are told who holds the lease; watchers, how things are."""
+        for waiter in self.waiting.over(self._now_us):
+            lease = self.machine.state.leases.get(waiter.name)
+            self._reply(waiter.tag, Held(lease.owner, lease.token) if lease is not None else Held("", 0))
+        over = self.watching.over(self._now_us)
+        for item in over:
+            self._asked[item.tag] = Read(item.request.lease, item.request.key)
+        if over:
+            self._carry(self.raft.read(self._now_us, *(item.tag for item in over)))
 
     # Reading
 
-    def _told(self, request: Read) -> Told:
-        lease = self.machine.state.leases.get(request.lease)
-        item = self.machine.state.records.get(request.key)
-        due_us = self._clocks.get(request.lease, (self._now_us, 0, 0))[0]
+    def _look_again(self, command: Command) -> None:
+        """Those who watch what a command may have changed read it anew, all in one round."""
+        for place in watched(command, self.watching.names):
+            if some := self.watching.pop_all(place):
+                for item in some:
+                    left_ms = max(1, (item.until_us - self._now_us) // 1000)
+                    self._asked[item.tag] = msgspec.structs.replace(item.request, wait_ms=left_ms)
+                self._carry(self.raft.read(self._now_us, *(item.tag for item in some)))
+
+    def _readable(self, tag: int) -> None:
+        request = self._asked.get(tag)
+        if isinstance(request, Read):
+            self._reply(tag, self._told(request.lease, request.key))
+        elif isinstance(request, Watch):
+            told = self._told(request.lease, request.key)
+            token = told.token if told.owner else 0
+            same = (token, told.version) == (request.token, request.version)
+            until_us = self._now_us + request.wait_ms * 1000
+            if not same or not request.wait_ms:
+                self._reply(tag, told)
+            elif not self.watching.add(tag, place_of(request), request, until_us):
+                self._reply(tag, NoRoom("too many watch"))
+
+    def _told(self, lease_name: str, key: str) -> Told:
+        lease = self.machine.state.leases.get(lease_name)
+        item = self.machine.state.records.get(key)
         return Told(
             lease.owner if lease is not None else "",
             lease.token if lease is not None else 0,
-            max(0, due_us - self._now_us) // 1000,
+            self.left_ms(lease_name),
             item.version if item is not None else 0,
             item.value if item is not None else b"",
         )
+
+    def left_ms(self, lease: str) -> int:
+        """What a lease or its delay has left, as a leader knows; elsewhere 0."""
+        return self._clocks.left_us(self._now_us, lease) // 1000
--- a/mallowquorum/messages.py
+++ b/mallowquorum/messages.py
@@ -66,6 +66,7 @@
     ok: bool
     match: int
     round: int
+    full: bool = False  # its disk is full, or refuses
 
 
 class Install(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/mallowquorum/raft.py
+++ b/mallowquorum/raft.py
@@ -18,6 +18,7 @@
 
 from mallowquorum.log import Log
 from mallowquorum.messages import (
+    COMMAND,
     MEMBERS,
     NOOP,
     Action,
@@ -69,6 +70,7 @@
     round: int = 0  # the last one that it answered
     heard_us: int = 0
     installing_us: int = 0  # until when a snapshot is left under way
+    full: bool = False  # its disk takes nothing that can wait
 
 
 @dataclass(slots=True)
@@ -108,6 +110,7 @@
         self.commit = snapshot.index
         self.leading: Leading | None = None
         self._votes: dict[str, bool] = {}
+        self.full = False  # this one's disk takes nothing that can wait
         self._pre = False  # the votes are asked for beforehand only
         self._actions: list[Action] = []
         self._written = self._synced = 0  # numbers of writes
@@ -187,29 +190,48 @@
             self._held.popleft()[1]()
         return self._taken()
 
-    def propose(self, now_us: int, tag: int, data: bytes, kind: int = 0) -> list[Action]:
+    def propose(self, now_us: int, tag: int, data: bytes, kind: int = COMMAND) -> list[Action]:
         """A leader takes a command on; any other member drops it, as surely not committed."""
+        return self.propose_all(now_us, [(tag, data)], kind)
+
+    def propose_all(self, now_us: int, some: list[tuple[int, bytes]], kind: int = COMMAND) -> list[Action]:
+        """Several at once, by tag: one write, and one message to each follower."""
         self._now_us = now_us
         leading = self.leading
-        if leading is None or len(leading.tags) >= MOST_WAITING:
-            return [Dropped(tag, unknown=False)]
-        leading.tags[self.log.last + 1] = tag
-        self._extend((Entry(self.term, kind, data),))
+        if leading is None or len(leading.tags) + len(some) > MOST_WAITING:
+            return [Dropped(tag, unknown=False) for tag, _ in some]
+        for at, (tag, _) in enumerate(some, self.log.last + 1):
+            leading.tags[at] = tag
+        self._extend(tuple(Entry(self.term, kind, data) for _, data in some))
         self._send_all(leading)
         return self._taken()
 
-    def read(self, now_us: int, tag: int) -> list[Action]:
-        """A read: ``Readable`` once a majority still follows this leader (thesis, 6.4)."""
+    def read(self, now_us: int, *tags: int) -> list[Action]:
+        """Reads: ``Readable`` for each once a majority still follows this leader (thesis, 6.4)."""
         self._now_us = now_us
         leading = self.leading
-        if leading is None or len(leading.reads) >= MOST_WAITING:
-            return [Dropped(tag, unknown=False)]
+        if leading is None or len(leading.reads) + len(tags) > MOST_WAITING:
+            return [Dropped(tag, unknown=False) for tag in tags]
         leading.round += 1
-        leading.reads.append((tag, leading.round))
+        leading.reads += [(tag, leading.round) for tag in tags]
         self._send_all(leading)
         self._confirm(leading)
         return self._taken()
 
+    def disk(self, now_us: int, full: bool) -> list[Action]:
+        """This member's disk takes nothing that can wait, or does again; a leader lets another lead."""
+        self._now_us, self.full = now_us, full
+        if self.leading is not None and full and not all(f.full for f in self.leading.followers.values()):
+            return self.step_down(now_us)
+        return self._taken()
+
+    @property
+    def roomy(self) -> bool:
+        """Whether a majority's disks, as far as this leader knows, take what can wait."""
+        some = self.leading.followers if self.leading is not None else {}
+        room = {name for name, follower in some.items() if not follower.full}
+        return self._majority(room if self.full else room | {self.name})
+
     def change(self, now_us: int, tag: int, members: tuple[str, ...]) -> list[Action]:
         """Add or remove one member; dropped while another change, or the leader's term, is not committed."""
         leading = self.leading
@@ -217,26 +239,27 @@
             return [Dropped(tag, unknown=False)]
         return self.propose(now_us, tag, msgspec.msgpack.encode(members), MEMBERS)
 
-    def _may_change(self, leading: Leading, members: tuple[str, ...]) -> bool:
+    @property
+    def changeable(self) -> bool:
+        """Whether the members may change now: no change is under way, and this leader's term has begun."""
         pending = any(
             self.log.at(index).kind == MEMBERS
             for index in range(max(self.commit + 1, self.log.first), self.log.last + 1)
         )
-        one = len(set(members) ^ set(self._members)) == 1
-        return one and not pending and self.commit >= leading.first
+        return self.leading is not None and not pending and self.commit >= self.leading.first
+
+    def _may_change(self, leading: Leading, members: tuple[str, ...]) -> bool:
+        return len(set(members) ^ set(self._members)) == 1 and self.changeable
 
     def step_down(self, now_us: int) -> list[Action]:
-        """An operator's wish: the follower that is furthest takes over."""
+        """An operator's wish: the follower that is furthest, of those with room, takes over."""
         self._now_us = now_us
         if self.leading is not None and self.leading.followers:
-            name = max(self.leading.followers, key=self.leading_match)
+            some = self.leading.followers
+            name = max(some, key=lambda name: (not some[name].full, some[name].match))
             self._emit(Send(name, TakeOver(self.term)))
         return self._taken()
 
-    def leading_match(self, name: str) -> int:
-        """How far a follower's log agrees, as its leader knows."""
-        return self.leading.followers[name].match if self.leading is not None else 0
-
     def compact(self, index: int, data: bytes) -> list[Action]:
         """The state machine's state after ``index``, which is committed: what it holds leaves the log."""
         term = self.log.term_at(index)
@@ -244,7 +267,7 @@
             return []
         snapshot = Snapshot(index, term, self._members_at(index), data)
         self.log.compact(snapshot)
-        self._persist(snapshot=snapshot)
+        self._persist_all()
         return self._taken()
 
     def _members_at(self, index: int) -> tuple[str, ...]:
@@ -267,6 +290,12 @@
         self._written += 1
         self._emit(Persist(self._written, hard, first, entries, snapshot))
 
+    def _persist_all(self) -> None:
+        """A write that holds everything: whatever was written before counts no more."""
+        log = self.log
+        entries = tuple(log.at(index) for index in range(log.first, log.last + 1))
+        self._persist(Hard(self.term, self.vote), log.first, entries, log.snapshot)
+
     def _after_sync(self, done: Callable[[], None]) -> None:
         """Once all that is written so far is durable."""
         if self._synced >= self._written:
@@ -450,7 +479,7 @@
         if leading is None or message.term != self.term or sender not in leading.followers:
             return
         follower = leading.followers[sender]
-        follower.heard_us = self._now_us
+        follower.heard_us, follower.full = self._now_us, message.full
         follower.round = max(follower.round, message.round)
         if message.ok:
             follower.match = max(follower.match, message.match)
@@ -511,9 +540,12 @@
         self._heard_us = self._now_us
         self._wait_for_leader()
 
+    def _answer(self, sender: str, ok: bool, match: int, number: int) -> None:
+        self._promise(sender, Appended(self.term, ok, match, number, self.full))
+
     def _append(self, sender: str, message: Append) -> None:
         if message.term < self.term:
-            self._promise(sender, Appended(self.term, False, 0, message.round))
+            self._answer(sender, False, 0, message.round)
             return
         self._follow(sender)
         entries, previous = message.entries, message.prev_index
@@ -521,14 +553,14 @@
             skipped = min(self.log.snapshot.index - previous, len(entries))
             entries, previous = entries[skipped:], previous + skipped
             if previous < self.log.snapshot.index:
-                self._promise(sender, Appended(self.term, True, self.log.snapshot.index, message.round))
+                self._answer(sender, True, self.log.snapshot.index, message.round)
                 return
         elif self.log.term_at(previous) != message.prev_term:
-            self._promise(sender, Appended(self.term, False, self._agrees(previous), message.round))
+            self._answer(sender, False, self._agrees(previous), message.round)
             return
         self._take(previous, entries)
         match = previous + len(entries)
-        self._promise(sender, Appended(self.term, True, match, message.round))
+        self._answer(sender, True, match, message.round)
         self._commit(max(self.commit, min(message.commit, match)))
 
     def _agrees(self, previous: int) -> int:
@@ -555,14 +587,14 @@
 
     def _install(self, sender: str, message: Install) -> None:
         if message.term < self.term:
-            self._promise(sender, Appended(self.term, False, 0, message.round))
+            self._answer(sender, False, 0, message.round)
             return
         self._follow(sender)
         snapshot = message.snapshot
         if snapshot.index > self.commit:
             self.log.compact(snapshot)
-            self._persist(snapshot=snapshot)
+            self._persist_all()
             self.commit = snapshot.index
             self._members = self._members_now()
             self._emit(Restored(snapshot))
-        self._promise(sender, Appended(self.term, True, max(snapshot.index, 0), message.round))
+        self._answer(sender, True, snapshot.index, message.round)
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -17,19 +17,33 @@
 import msgspec
 import structlog
 
+from mallowpages import JSON, METRICS, Page, Pages
 from mallowquorum import wire
-from mallowquorum.config import Address, Config
-from mallowquorum.member import Member, Out, Reply
+from mallowquorum.config import Address, Config, address_of
+from mallowquorum.figures import Figures
+from mallowquorum.lives import Claim, Lives
+from mallowquorum.machine import Done, Refused
+from mallowquorum.member import Elsewhere, Member, Out, Reply, Shunned, Together
 from mallowquorum.messages import Message, Persist, Send
-from mallowquorum.raft import Timing
-from mallowquorum.store import Store
-from mallowquorum.wire import FRAME_S, HELLO_S, MOST_ASKED, MOST_FRAME, VERSION, Hello, WireError, frame
+from mallowquorum.raft import Role, Timing
+from mallowquorum.store import FULL, Store
+from mallowquorum.wire import (
+    FRAME_S,
+    HELLO_S,
+    MOST_ASKED,
+    MOST_FRAME,
+    VERSION,
+    Hello,
+    Turned,
+    WireError,
+    frame,
+)
 
 LOG = structlog.get_logger("mallowquorum")
 MOST_QUEUED = 512  # messages to a member that does not take them; the oldest goes, as any may be lost
-MOST_CLIENTS = 1024
+MOST_CLIENTS = 2048
 AGAIN_S = (0.05, 1.0)  # s before a connection to a member is tried again: at first, and at most
-DISK_AGAIN_S = 0.5  # s before a write that the disk refused is tried again
+DISK_AGAIN_US = 500_000  # before a write that the disk refused is tried again
 STILL_S = 30.0  # s without a frame after which a client's connection is closed
 
 
@@ -41,9 +55,10 @@
 class Peer:
     """The way to another member: a connection that is made again whenever it ends, and a bounded queue."""
 
-    def __init__(self, own: str, name: str, address: Address, random: Random) -> None:
-        self._own, self.name, self._address, self._random = own, name, address, random
+    def __init__(self, name: str, address: Address, hello: Hello, random: Random) -> None:
+        self._hello, self.name, self.address, self._random = hello, name, address, random
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(MOST_QUEUED)
+        self.turned = ""  # why it does not listen to this one
 
     def send(self, message: Message) -> None:
         """Put a message on its way."""
@@ -57,7 +72,7 @@
         while True:
             try:
                 async with asyncio.timeout(AGAIN_S[1]):
-                    reader, writer = await asyncio.open_connection(*self._address)
+                    reader, writer = await asyncio.open_connection(*self.address)
             except (OSError, TimeoutError):
                 await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5))
                 pause_s = min(2 * pause_s, AGAIN_S[1])
@@ -65,29 +80,41 @@
             pause_s = AGAIN_S[0]
             try:
                 await self._send_all(reader, writer)
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, WireError):
                 pass
             finally:
                 writer.transport.abort()
+            if self.turned:
+                await asyncio.sleep(AGAIN_S[1])
 
     async def _send_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        ended = asyncio.ensure_future(reader.read(1))  # a member says nothing here: this is its end
+        ended = asyncio.ensure_future(wire.read_frame(reader, MOST_ASKED))  # its end, and perhaps why
+        heard = asyncio.get_running_loop().call_later(AGAIN_S[1], self._listened)
         try:
-            writer.write(frame(Hello(VERSION, self._own)))
+            writer.write(frame(self._hello))
             while not ended.done():
                 item = asyncio.ensure_future(self._queue.get())
                 await asyncio.wait({item, ended}, return_when=asyncio.FIRST_COMPLETED)
-                if not item.done():
+                if ended.done():
                     item.cancel()
-                    return
+                    break
                 writer.write(item.result())
                 async with asyncio.timeout(FRAME_S):
                     await writer.drain()
+            body = await ended
+            why = wire.decoded(wire.turned_decoder, body).why if body else ""
+            if why and why != self.turned:
+                LOG.error("a member does not listen to this one", member=self.name, why=why)
+            self.turned = why
         finally:
+            heard.cancel()
             ended.cancel()
-            with suppress(asyncio.CancelledError, OSError):
+            with suppress(asyncio.CancelledError, OSError, WireError):
                 await ended
 
+    def _listened(self) -> None:
+        self.turned = ""
+
 
 class Server:
     """One member in service."""
@@ -95,48 +122,87 @@
     def __init__(self, config: Config) -> None:
         """``StoreError`` where the folder cannot be used."""
         self._config, self._random = config, Random()
-        self._store = Store(Path(config.folder))
+        self._store = Store(Path(config.folder), config.reserve_kb * 1024)
         times = config.times
         timing = Timing(
             times.least_election_ms * 1000, times.most_election_ms * 1000, times.heartbeat_ms * 1000
         )
         self._member = Member(
-            config.name, tuple(sorted(config.members)), saved=self._store.saved, timing=timing,
+            config.name, config.first_members, saved=self._store.saved, timing=timing,
             draw=self._random.randint, now_us=now_us(),
         )  # fmt: skip
-        self._peers = {
-            name: Peer(config.name, name, address, self._random) for name, address in config.others.items()
-        }
-        self._writes: asyncio.Queue[Persist] = asyncio.Queue()
+        raft = self._member.raft
+        claim = Claim(raft.term, raft.vote, raft.log.last)
+        self._hello = Hello(VERSION, config.name, self._store.life, claim)
+        self._lives = Lives(config.name, self._store.lives, self._store.shunned)
+        self._knowing = asyncio.Lock()
+        self._peers: dict[str, tuple[Peer, asyncio.Task[None]]] = {}
+        self._heard: dict[str, tuple[asyncio.StreamWriter, str]] = {}  # members' connections and folders
+        self._writes: list[Persist] = []
+        self._to_write = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
         self._due_us = 0
-        self._asked: dict[int, tuple[asyncio.StreamWriter, int]] = {}  # by tag: who asked, and its number
+        self._asked: dict[int, tuple[asyncio.StreamWriter, int, str]] = {}  # by tag: who, its number, what
         self._tag = 0
+        self._open: set[asyncio.StreamWriter] = set()
         self._clients = 0
         self._disk = ""
+        self._reserve_us = 0  # when the reserve is made again at the earliest
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._was = ("", 0)
+        self._figures = Figures(lambda: self.health(0))
+        self._pages = Pages(
+            {
+                "/health": lambda: Page(200, b"up\n"),
+                "/ready": self._ready_page,
+                "/status": lambda: Page(200, msgspec.json.encode(self.health(0)) + b"\n", JSON),
+                "/leases": lambda: Page(200, msgspec.json.encode(self._leases(0)) + b"\n", JSON),
+                "/metrics": lambda: Page(200, self._figures.page(), METRICS),
+            }
+        )
 
     async def start(self) -> None:
-        """Listen, reach for the others, and take part."""
+        """Listen, reach for the others, and take part; ``OSError`` where an address cannot be had."""
         self._server = await asyncio.start_server(self._connected, *self._config.listen_address, backlog=256)
-        for peer in self._peers.values():
-            self._spawn(peer.run())
+        if self._config.operators:
+            await self._pages.start(*address_of(self._config.operators))
+        self._meet(self._config)
         self._spawn(self._write())
         self._arm()
         raft = self._member.raft
         LOG.info("member is up", name=self._config.name, term=raft.term, entries=raft.log.last)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _meet(self, config: Config) -> None:
+        """Ways to all others as the configuration has them; those that stand stay."""
+        for name, (peer, task) in list(self._peers.items()):
+            if config.others.get(name) != peer.address:
+                task.cancel()
+                del self._peers[name]
+        for name, address in config.others.items():
+            if name not in self._peers:
+                peer = Peer(name, address, self._hello, self._random)
+                self._peers[name] = (peer, self._spawn(peer.run()))
+
+    def reload(self, config: Config) -> None:
+        """Another table of addresses; whatever else differs counts at the next start."""
+        self._config = msgspec.structs.replace(self._config, members=config.members)
+        self._meet(self._config)
+        LOG.info("members' addresses were read again", members=sorted(config.members))
 
     async def stop(self) -> None:
         """End; what is durable stands, and nothing else was promised."""
         if self._server is not None:
             self._server.close()
+        self._pages.stop()
+        for writer in list(self._open):
+            writer.transport.abort()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -152,19 +218,35 @@
             match item:
                 case Send():
                     if item.to in self._peers:
-                        self._peers[item.to].send(item.message)
+                        self._peers[item.to][0].send(item.message)
                 case Persist():
-                    self._writes.put_nowait(item)
+                    if item.snapshot is not None:
+                        self._writes.clear()  # it holds whatever was to be written before
+                    self._writes.append(item)
+                    self._to_write.set()
                 case Reply():
-                    writer, number = self._asked.pop(item.tag, (None, 0))
-                    if writer is not None and not writer.is_closing():
-                        writer.write(frame(wire.Told(number, item.response)))
+                    self._reply(item)
+                case Together():
+                    if self._lives.keep(item.names):
+                        self._spawn(self._know())
+                case Shunned():
+                    if news := [folder for folder in item.folders if self._lives.shun(folder)]:
+                        self._shun(news)
         raft = self._member.raft
         if (raft.leader, raft.term) != self._was:
             self._was = (raft.leader, raft.term)
+            self._figures.leaders.inc()
             LOG.info("leader", leader=raft.leader or "unknown", term=raft.term, role=raft.role.value)
         self._arm()
 
+    def _reply(self, item: Reply) -> None:
+        writer, number, asked = self._asked.pop(item.tag, (None, 0, ""))
+        if writer is None:
+            return
+        self._figures.requests.labels(asked, type(item.response).__name__).inc()
+        if not writer.is_closing():
+            writer.write(frame(wire.Told(number, item.response)))
+
     def _arm(self) -> None:
         due_us = self._member.due_us
         if self._timer is not None and due_us == self._due_us:
@@ -178,30 +260,55 @@
         self._timer = None
         self._did(self._member.wake(now_us()))
 
+    # Disk
+
     async def _write(self) -> None:
         """Write what piles up; a disk that refuses is asked again, and nothing is promised meanwhile."""
         while True:
-            some = [await self._writes.get()]
-            while not self._writes.empty():
-                some.append(self._writes.get_nowait())
-            while True:
-                try:
+            await self._to_write.wait()
+            some = list(self._writes)
+            try:
+                with self._figures.synced.time():
                     await asyncio.to_thread(self._store.write, some)
-                    break
-                except OSError as error:
-                    if not self._disk:
-                        LOG.error("the disk refuses", why=error.strerror)
-                    self._disk = error.strerror or "refused"
-                    await asyncio.sleep(DISK_AGAIN_S)
-            if self._disk:
-                LOG.info("the disk takes writes again")
-                self._disk = ""
-            self._did(self._member.synced(now_us(), some[-1].number))
+            except OSError as error:
+                await self._refused(error)
+                continue
+            number = some[-1].number
+            self._writes = [item for item in self._writes if item.number > number]
+            if not self._writes:
+                self._to_write.clear()
+            self._room()
+            self._did(self._member.synced(now_us(), number))
+
+    async def _refused(self, error: OSError) -> None:
+        """The disk refuses: first the reserve goes, then the log is made as small as it can be."""
+        if not self._disk:
+            LOG.error("the disk refuses", why=error.strerror)
+        first, self._disk = not self._disk, error.strerror or "refused"
+        self._reserve_us = now_us() + DISK_AGAIN_US
+        if error.errno in FULL and self._store.give_up_reserve():
+            self._did(self._member.disk(now_us(), True))
+            return
+        if first:
+            self._did(self._member.disk(now_us(), True))
+        self._did(self._member.compact())
+        await asyncio.sleep(DISK_AGAIN_US / 1e6)
+
+    def _room(self) -> None:
+        """Whether the disk, which takes writes, also has room for the reserve again."""
+        if not self._disk or now_us() < self._reserve_us:
+            return
+        self._reserve_us = now_us() + DISK_AGAIN_US
+        if self._store.make_reserve():
+            LOG.info("the disk takes writes again")
+            self._disk = ""
+            self._did(self._member.disk(now_us(), False))
 
     # Connections
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = writer.get_extra_info("peername")
+        self._open.add(writer)
         try:
             body = await wire.read_frame(reader, MOST_ASKED, HELLO_S)
             if not body:
@@ -210,22 +317,75 @@
             if hello.version != VERSION:
                 raise WireError(f"version {hello.version}, not {VERSION}")
             if hello.member:
-                await self._serve_member(reader, hello.member)
+                await self._serve_member(reader, writer, hello)
             else:
                 await self._serve_client(reader, writer)
         except WireError as error:
+            self._figures.refused.inc()
             LOG.warning("a connection was ended", peer=peer, why=str(error))
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
+            self._open.discard(writer)
             writer.close()
 
-    async def _serve_member(self, reader: asyncio.StreamReader, name: str) -> None:
-        if name not in self._peers:
-            raise WireError(f"{name!r} is no member here")
-        while body := await wire.read_frame(reader, MOST_FRAME):
-            message = wire.decoded(wire.message_decoder, body)
-            self._did(self._member.receive(now_us(), name, message))
+    async def _serve_member(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, hello: Hello
+    ) -> None:
+        name = hello.member
+        why = await self._refusal(hello)
+        if why:
+            writer.write(frame(Turned(why)))
+            raise WireError(why)
+        assert hello.life is not None
+        if name in self._heard:
+            self._heard[name][0].transport.abort()
+        self._heard[name] = (writer, hello.life.folder)
+        try:
+            while body := await wire.read_frame(reader, MOST_FRAME):
+                message = wire.decoded(wire.message_decoder, body)
+                if self._heard.get(name, (None, ""))[0] is not writer:
+                    return
+                self._lives.note(name, message)
+                self._did(self._member.receive(now_us(), name, message))
+        finally:
+            if self._heard.get(name, (None, ""))[0] is writer:
+                del self._heard[name]
+
+    async def _refusal(self, hello: Hello) -> str:
+        """Why a member is not listened to; a life that is, is durable before."""
+        name, life = hello.member, hello.life
+        if name == self._config.name or name not in self._peers or life is None:
+            return f"{name!r} is no other member here"
+        async with self._knowing:
+            if why := self._lives.refusal(name, life, hello.claim):
+                if life.folder in self._lives.shunned:
+                    self._did(self._member.shun(now_us(), life.folder))
+                    self._spawn(self._know())
+                return why
+            if self._lives.heard(name, life):
+                try:
+                    await asyncio.to_thread(self._store.know, self._lives.known, self._lives.shunned)
+                except OSError as error:
+                    self._lives.unheard(name, self._store.lives)
+                    return f"the disk refuses to note who was heard: {error.strerror}"
+            return self._lives.refusal(name, life, hello.claim)  # it may have been shunned meanwhile
+
+    def _shun(self, folders: list[str]) -> None:
+        """Folders that are not heard from now on."""
+        LOG.error("a folder has forgotten promises and is not heard", folders=folders)
+        for name, (writer, folder) in list(self._heard.items()):
+            if folder in folders:
+                writer.write(frame(Turned(f"{name} speaks from a copy of its folder, as another has found")))
+                writer.close()
+                del self._heard[name]
+        self._spawn(self._know())
+
+    async def _know(self) -> None:
+        """Make durable who is heard; one that was taken out may come back with another folder."""
+        async with self._knowing:
+            with suppress(OSError):  # it stands in the log too
+                await asyncio.to_thread(self._store.know, self._lives.known, self._lives.shunned)
 
     async def _serve_client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._clients >= MOST_CLIENTS:
@@ -233,26 +393,96 @@
         self._clients += 1
         try:
             while body := await wire.read_frame(reader, MOST_ASKED, STILL_S):
-                try:
-                    ask = wire.ask_decoder.decode(body)
-                except msgspec.DecodeError:
-                    status = wire.decoded(wire.status_decoder, body)
-                    writer.write(frame(self._health(status.number)))
-                    continue
-                self._tag += 1
-                self._asked[self._tag] = (writer, ask.number)
-                self._did(self._member.request(now_us(), self._tag, ask.request))
+                self._serve(writer, wire.decoded(wire.asked_decoder, body))
                 await writer.drain()
         finally:
             self._clients -= 1
-            for tag in [tag for tag, (asker, _) in self._asked.items() if asker is writer]:
+            gone = [tag for tag, (asker, _, _) in self._asked.items() if asker is writer]
+            for tag in gone:
                 del self._asked[tag]
+            self._member.gone(gone)
 
-    def _health(self, number: int) -> wire.Health:
+    def _serve(self, writer: asyncio.StreamWriter, asked: wire.Asked) -> None:
+        match asked:
+            case wire.Ask():
+                tag = self._noted(writer, asked.number, type(asked.request).__name__)
+                self._did(self._member.request(now_us(), tag, asked.request))
+            case wire.Status():
+                writer.write(frame(self.health(asked.number)))
+            case wire.Leases():
+                writer.write(frame(self._leases(asked.number)))
+            case wire.Copy():
+                LOG.info("an operator takes a snapshot")
+                self._did(self._member.compact())
+                writer.write(frame(wire.Copied(asked.number, self._member.raft.log.snapshot)))
+            case wire.StepDown():
+                LOG.info("an operator wants another leader")
+                leads = self._member.raft.role is Role.LEADER
+                self._did(self._member.step_down(now_us()))
+                answer = Done() if leads else Elsewhere(self._member.raft.leader)
+                writer.write(frame(wire.Told(asked.number, answer)))
+            case wire.Change():
+                self._change(writer, asked)
+
+    def _noted(self, writer: asyncio.StreamWriter, number: int, asked: str) -> int:
+        """A tag by which an answer comes back to who asked."""
+        self._tag += 1
+        self._asked[self._tag] = (writer, number, asked)
+        return self._tag
+
+    def _change(self, writer: asyncio.StreamWriter, asked: wire.Change) -> None:
         raft = self._member.raft
+        names = {*raft.members, asked.add} - {asked.remove, ""}
+        why = ""
+        if raft.role is not Role.LEADER:
+            writer.write(frame(wire.Told(asked.number, Elsewhere(raft.leader))))
+            return
+        if asked.add and asked.add not in self._config.members:
+            why = f"{asked.add!r} has no address in the members' table of {self._config.name}"
+        elif asked.add in raft.members or (asked.remove and asked.remove not in raft.members):
+            why = f"the members are {', '.join(raft.members)}"
+        elif not names:
+            why = "one member has to stay"
+        elif not raft.changeable:
+            why = "another change is under way, or the leader is new: ask again"
+        if why:
+            writer.write(frame(wire.Told(asked.number, Refused(why))))
+            return
+        LOG.info("an operator changes the members", members=sorted(names))
+        tag = self._noted(writer, asked.number, "Change")
+        self._did(self._member.change(now_us(), tag, tuple(sorted(names))))
+
+    # Operators
+
+    def health(self, number: int) -> wire.Health:
+        """How this member is."""
+        member, raft = self._member, self._member.raft
         followers = raft.leading.followers if raft.leading is not None else {}
+        full = {name for name, some in followers.items() if some.full}
+        state = member.machine.state
         return wire.Health(
-            number, self._config.name, raft.role.value, raft.term, raft.leader, raft.commit, raft.members,
-            len(self._member.machine.state.leases),
-            {name: raft.log.last - some.match for name, some in followers.items()}, self._disk,
+            number=number, name=self._config.name, role=raft.role.value, term=raft.term, leader=raft.leader,
+            commit=raft.commit, applied=member.applied, members=raft.members,
+            lag={name: raft.log.last - some.match for name, some in followers.items()},
+            leases=len(state.leases), sessions=len(state.sessions), records=len(state.records),
+            waiting=len(member.waiting) + len(member.watching), log_entries=len(raft.log),
+            log_bytes=self._store.size, disk=self._disk,
+            full=tuple(sorted(full | ({self._config.name} if raft.full else set()))),
+            turned={name: peer.turned for name, (peer, _) in self._peers.items() if peer.turned},
         )  # fmt: skip
+
+    def _ready_page(self) -> Page:
+        health = self.health(0)
+        word = f"{health.role} of term {health.term}, leader {health.leader or 'unknown'}\n"
+        return Page(200 if health.ready else 503, word.encode())
+
+    def _leases(self, number: int) -> wire.Listed:
+        member = self._member
+        leads = member.raft.role is Role.LEADER
+        lines = tuple(
+            wire.LeaseLine(
+                name, lease.owner, lease.token, lease.ttl_ms, member.left_ms(name), member.waiting.count(name)
+            )
+            for name, lease in sorted(member.machine.state.leases.items())
+        )
+        return wire.Listed(number, leads, lines)
--- a/mallowquorum/store.py
+++ b/mallowquorum/store.py
@@ -1,4 +1,7 @@
-"""What a member keeps on its disk: one file that is only ever appended to, and replaced whole by a snapshot.
+"""What a member keeps on its disk: one log that is only ever appended to, and replaced whole by a snapshot.
+
+Beside it stand ``lives`` (whose life was heard last), ``lock`` (held while a process runs on the folder) and
+``reserve`` (room that is given up once the disk is full, so that what may not wait is still written).
 
 A record is its length, its checksum, and a ``Persist`` without its number. A crash may tear the last one,
 which then never counted: nothing was promised on it. One that is broken before others is damage, and told.
@@ -6,17 +9,24 @@
 
 from __future__ import annotations
 
+import errno
+import fcntl
 import os
+import secrets
 import struct
+import threading
 import zlib
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
 
+from mallowquorum.lives import Life
 from mallowquorum.log import Log
 from mallowquorum.messages import Entry, Hard, Persist, Saved, Snapshot
 
 HEAD = struct.Struct("<II")  # length and CRC-32 of what follows
+FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)  # what a disk says that is full
 MOST_RECORD = 64 * 1024 * 1024  # bytes; a length beyond is none
 
 
@@ -36,8 +46,17 @@
 _DECODER = msgspec.msgpack.Decoder(Written)
 
 
+class Known(msgspec.Struct, frozen=True):
+    """The file ``lives``: this folder's name, the starts in it, and the others' lives."""
+
+    folder: str
+    start: int
+    lives: dict[str, Life]
+    shunned: tuple[str, ...] = ()
+
+
 class Folded:
-    """What all writes so far come to."""
+    """What some writes in a row come to."""
 
     def __init__(self) -> None:
         self._hard, self._log = Hard(), Log(Snapshot(), ())
@@ -103,66 +122,148 @@
     os.fsync(handle)
 
 
+def replace_file(path: Path, data: bytes) -> int:
+    """A new file in place of an old one at once, durably; its descriptor. ``OSError``: the old one stands."""
+    new = path.with_suffix(".new")
+    handle = os.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+    try:
+        write_whole(handle, data)
+        os.rename(new, path)
+        sync_folder(path.parent)
+    except OSError:
+        os.close(handle)
+        with suppress(OSError):
+            new.unlink()  # what it took of a full disk comes back
+        raise
+    return handle
+
+
+def sync_folder(folder: Path) -> None:
+    """Make a folder's own entries durable."""
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
 class Store:
-    """The file; its calls block, and whoever runs a loop makes them elsewhere."""
+    """The folder; its calls block, and whoever runs a loop makes them elsewhere."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, reserve_bytes: int = 0) -> None:
         """Open a folder; ``StoreError`` where it cannot be used, and where a torn end cannot be cut off."""
-        self._path, self._folded = folder / "log", Folded()
+        self._folder, self._path, self._reserve_bytes = folder, folder / "log", reserve_bytes
         try:
             folder.mkdir(parents=True, exist_ok=True)
+            self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             data = self._path.read_bytes() if self._path.exists() else b""
             records, end = read_records(data)
             self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
             if end < len(data):
                 os.ftruncate(self._file, end)
                 os.fsync(self._file)
-            self._sync_folder(folder)
+            self._begin_life()
+            sync_folder(folder)
+        except BlockingIOError:
+            raise StoreError(f"{folder}: another process runs on this folder") from None
         except OSError as error:
             raise StoreError(f"{self._path}: {error.strerror}") from error
+        folded = Folded()
         for record in records:
-            self._folded.add(record)
+            folded.add(record)
+        self.saved = folded.saved  # what a member starts from
+        self._size, self._busy, self._closed = end, threading.Lock(), False
+        self.reserved = self.make_reserve()
+
+    def _begin_life(self) -> None:
+        path = self._folder / "lives"
+        try:
+            known = msgspec.json.decode(path.read_bytes(), type=Known)
+        except FileNotFoundError:
+            if self._path.stat().st_size:
+                raise StoreError(f"{path}: there is a log and not this") from None
+            known = Known(secrets.token_hex(8), 0, {})
+        except msgspec.DecodeError as error:
+            raise StoreError(f"{path}: {error}") from None
+        self.life = Life(known.folder, known.start + 1, secrets.token_hex(8))
+        self.know(known.lives, known.shunned)
+
+    def know(self, lives: dict[str, Life], shunned: tuple[str, ...]) -> None:
+        """Make durable whose lives are heard; ``OSError`` where the disk refuses, and the old ones stand."""
+        known = Known(self.life.folder, self.life.start, lives, shunned)
+        os.close(replace_file(self._folder / "lives", msgspec.json.encode(known)))
+        self.lives, self.shunned = lives, shunned
 
     @property
-    def saved(self) -> Saved:
-        """What is on the disk."""
-        return self._folded.saved
+    def size(self) -> int:
+        """The size of the log's file."""
+        return self._size
+
+    def make_reserve(self) -> bool:
+        """Take room beforehand; whether it is there."""
+        if not self._reserve_bytes:
+            return True
+        try:
+            handle = os.open(self._folder / "reserve", os.O_RDWR | os.O_CREAT, 0o600)
+            try:
+                os.posix_fallocate(handle, 0, self._reserve_bytes)
+            finally:
+                os.close(handle)
+        except OSError:
+            self.give_up_reserve()
+            return False
+        self.reserved = True
+        return True
+
+    def give_up_reserve(self) -> bool:
+        """Let go of that room; whether there was any."""
+        had, self.reserved = getattr(self, "reserved", False) and bool(self._reserve_bytes), False
+        with suppress(OSError):
+            (self._folder / "reserve").unlink(missing_ok=True)
+        return had
 
     def write(self, writes: list[Persist]) -> None:
         """Make writes durable, in order; ``OSError`` where the disk refuses, and then none of them counts."""
-        for written in writes:
-            self._folded.add(written)
-        if any(written.snapshot is not None for written in writes):
-            self._replace()
+        whole = max((at for at, item in enumerate(writes) if item.snapshot is not None), default=None)
+        some = writes[whole:] if whole is not None else writes  # one with a snapshot holds all before it
+        data = b"".join(
+            record_of(Written(item.hard, item.first, item.entries, item.snapshot)) for item in some
+        )
+        with self._busy:
+            if self._closed:
+                raise OSError(errno.EBADF, "closed")
+            self._write(data, whole is not None)
+
+    def _write(self, data: bytes, whole: bool) -> None:
+        if whole:
+            handle = replace_file(self._path, data)
+            os.close(self._file)
+            self._file, self._size = handle, len(data)
             return
-        records = [Written(item.hard, item.first, item.entries, item.snapshot) for item in writes]
-        size = os.fstat(self._file).st_size
         try:
-            write_whole(self._file, b"".join(map(record_of, records)))
+            write_whole(self._file, data)
         except OSError:
-            os.ftruncate(self._file, size)  # half a record before others would be damage
+            os.ftruncate(self._file, self._size)  # half a record before others would be damage
             raise
-
-    def _replace(self) -> None:
-        """A new file with all that counts, in place of the old one at once."""
-        saved, path = self.saved, self._path.with_suffix(".new")
-        new = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-        snapshot = saved.snapshot if saved.snapshot.members else None
-        whole = Written(saved.hard, saved.snapshot.index + 1, saved.entries, snapshot)
-        write_whole(new, record_of(whole))
-        os.rename(path, self._path)
-        os.close(self._file)
-        self._file = new
-        self._sync_folder(self._path.parent)
-
-    @staticmethod
-    def _sync_folder(folder: Path) -> None:
-        handle = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+        self._size += len(data)
 
     def close(self) -> None:
-        """Let go of the file."""
-        os.close(self._file)
+        """Let go of the folder, once a write that is under way has ended."""
+        with self._busy:
+            self._closed = True
+            os.close(self._file)
+            os.close(self._lock)
+
+
+def restore(folder: Path, snapshot: Snapshot) -> None:
+    """A new folder that begins from a snapshot; ``StoreError`` where one is there, or the disk refuses."""
+    if folder.exists() and any(folder.iterdir()):
+        raise StoreError(f"{folder}: the folder is not empty")
+    store = Store(folder)
+    try:
+        store.write([Persist(1, Hard(snapshot.term, ""), snapshot.index + 1, (), snapshot)])
+    except OSError as error:
+        raise StoreError(f"{folder}: {error.strerror}") from error
+    finally:
+        store.close()
--- a/mallowquorum/wire.py
+++ b/mallowquorum/wire.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from mallowquorum.lives import Claim, Life
 from mallowquorum.member import Request, Response
-from mallowquorum.messages import Message
+from mallowquorum.messages import Message, Snapshot
 
 VERSION = 1
 SIZE = struct.Struct(">I")
@@ -24,33 +25,70 @@
 
 
 class Hello(msgspec.Struct, frozen=True):
-    """The first frame of a connection; a member names itself, a client does not."""
+    """The first frame of a connection; a member names itself and its life, a client does not."""
 
     version: int
     member: str = ""
+    life: Life | None = None
+    claim: Claim = Claim()
 
 
-class Ask(msgspec.Struct, frozen=True):
+class Turned(msgspec.Struct, frozen=True, tag="turned"):
+    """The answer to a ``Hello`` that is not listened to, before the end."""
+
+    why: str
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
     """A client's request; ``number`` joins it to its answer, and counts for this connection alone."""
 
     number: int
     request: Request
 
 
-class Status(msgspec.Struct, frozen=True):
-    """A client asks a member for itself."""
+class Status(msgspec.Struct, frozen=True, tag="status"):
+    """An operator asks a member for itself."""
+
+    number: int
+
+
+class Leases(msgspec.Struct, frozen=True, tag="leases"):
+    """An operator asks a member for all leases that it knows of."""
 
     number: int
 
 
-class Told(msgspec.Struct, frozen=True):
-    """The answer to ``Ask``."""
+class Copy(msgspec.Struct, frozen=True, tag="copy"):
+    """An operator asks a member for a snapshot of what it has applied; it also compacts its log."""
+
+    number: int
+
+
+class StepDown(msgspec.Struct, frozen=True, tag="step-down"):
+    """An operator wants another leader."""
+
+    number: int
+
+
+class Change(msgspec.Struct, frozen=True, tag="change"):
+    """An operator adds a member or takes one out."""
+
+    number: int
+    add: str = ""
+    remove: str = ""
+
+
+Asked = Ask | Status | Leases | Copy | StepDown | Change
+
+
+class Told(msgspec.Struct, frozen=True, tag="told"):
+    """The answer to ``Ask``, ``StepDown`` and ``Change``."""
 
     number: int
     response: Response
 
 
-class Health(msgspec.Struct, frozen=True):
+class Health(msgspec.Struct, frozen=True, tag="health"):
     """What a member knows of itself, and a leader of the others."""
 
     number: int
@@ -59,18 +97,58 @@
     term: int
     leader: str
     commit: int
+    applied: int
     members: tuple[str, ...]
-    leases: int
     lag: dict[str, int]  # entries that a follower is behind; of a leader alone
+    leases: int
+    sessions: int
+    records: int
+    waiting: int  # requests that wait for leases or for changes; of a leader alone
+    log_entries: int
+    log_bytes: int  # of the file
     disk: str  # what its disk refuses; empty: nothing
+    full: tuple[str, ...]  # members whose disk takes nothing that can wait, as far as is known here
+    turned: dict[str, str]  # members that do not listen to this one, and why
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes part: it leads or follows."""
+        return bool(self.leader)
+
+
+class LeaseLine(msgspec.Struct, frozen=True, array_like=True):
+    """One lease; ``left_ms`` is known to a leader alone, and without owner it is its delay that runs."""
+
+    name: str
+    owner: str
+    token: int
+    ttl_ms: int
+    left_ms: int
+    waiting: int
+
+
+class Listed(msgspec.Struct, frozen=True, tag="listed"):
+    """The answer to ``Leases``."""
+
+    number: int
+    leads: bool
+    leases: tuple[LeaseLine, ...]
+
+
+class Copied(msgspec.Struct, frozen=True, tag="copied"):
+    """The answer to ``Copy``."""
+
+    number: int
+    snapshot: Snapshot
+
 
+Answer = Told | Health | Listed | Copied
 
 hello_decoder = msgspec.msgpack.Decoder(Hello)
+turned_decoder = msgspec.msgpack.Decoder(Turned)
 message_decoder = msgspec.msgpack.Decoder(Message)
-ask_decoder = msgspec.msgpack.Decoder(Ask)
-status_decoder = msgspec.msgpack.Decoder(Status)
-told_decoder = msgspec.msgpack.Decoder(Told)
-health_decoder = msgspec.msgpack.Decoder(Health)
+asked_decoder = msgspec.msgpack.Decoder(Asked)
+answer_decoder = msgspec.msgpack.Decoder(Answer)
 
 
 def frame(item: msgspec.Struct) -> bytes:
@@ -86,14 +164,14 @@
     """
     try:
         async with asyncio.timeout(first_s):
-            head = await reader.readexactly(SIZE.size)
-        size = SIZE.unpack(head)[0]
-        if not 0 < size <= most:
-            raise WireError(f"a frame of {size} bytes")
+            first = await reader.readexactly(1)
         async with asyncio.timeout(FRAME_S):
+            size = SIZE.unpack(first + await reader.readexactly(SIZE.size - 1))[0]
+            if not 0 < size <= most:
+                raise WireError(f"a frame of {size} bytes")
             return await reader.readexactly(size)
     except asyncio.IncompleteReadError as error:
-        if error.partial:
+        if error.partial or error.expected != 1:
             raise WireError("a frame was cut off") from None
         return b""
 
--- a/tests/quorum/test_core.py
+++ b/tests/quorum/test_core.py
@@ -8,9 +8,10 @@
 import pytest
 
 from fleetlab.sim.quorum import Parts
+from mallowquorum.lives import Claim, Life
 from mallowquorum.machine import Acquire, Done, Expire, Open, Put, Renew, command_of
 from mallowquorum.member import Elsewhere, Member, Out, Read, Reply, Request, Response, Told, Unknown
-from mallowquorum.messages import NOOP, Append, AskVote, Entry, Message, Persist, Send, Vote
+from mallowquorum.messages import NOOP, Append, Appended, AskVote, Entry, Message, Persist, Send, Vote
 from mallowquorum.raft import Role, Timing
 from mallowquorum.store import Folded
 from tests.quorum.bugs import BUGS
@@ -229,6 +230,49 @@
     return member.applied == before
 
 
+def old_copies_are_not_heard(parts: Parts) -> bool:
+    """By what they promised, by their start, by a twin; a restart of the same folder is heard."""
+    lives = parts.lives("m0", {})
+    first, second = Life("f", 1, "a"), Life("f", 2, "b")
+    lives.heard("m1", first)
+    lives.note("m1", Vote(5, True))
+    lives.note("m1", Appended(5, True, 9, 1))
+    heard = [Claim(5, "m0", 9), Claim(5, "m0", 12), Claim(6, "", 3)]
+    assert all(not parts.lives("m0", {}).refusal("m1", second, claim) for claim in heard)
+    assert all(not lives.refusal("m1", second, claim) for claim in heard)
+    refused = []
+    for claim in (Claim(4, "", 9), Claim(5, "m2", 9), Claim(5, "m0", 8)):
+        lives = parts.lives("m0", {"m1": first})
+        lives.note("m1", Vote(5, True))
+        lives.note("m1", Appended(5, True, 9, 1))
+        refused.append(lives.refusal("m1", second, claim))
+        refused.append(lives.refusal("m1", Life("f", 3, "c"), heard[0]))  # it is shunned from then on
+    known = parts.lives("m0", {"m1": second})
+    some = (first, Life("f", 2, "twin"), Life("other", 1, "x"))
+    refused += [known.refusal("m1", life, heard[0]) for life in some]
+    return all(refused)
+
+
+def many_ends_are_one_write(parts: Parts) -> bool:
+    """A thousand leases that run out together: one entry each, one write, one message to each follower."""
+    bench = Bench(3, parts)
+    bench.elect("m0")
+    session = bench.session("m0")
+    for number in range(1000):
+        bench.ask("m0", Acquire(session, number + 1, f"l{number}", 100))
+    bench.settle()
+    bench.now_us += 100_000
+    leading = bench.members["m0"].raft.leading
+    assert leading is not None
+    for follower in leading.followers.values():
+        follower.heard_us = bench.now_us
+    out = bench.members["m0"].wake(bench.now_us)
+    writes = [item for item in out if isinstance(item, Persist) and item.entries]
+    bench.did("m0", out)
+    bench.settle()
+    return len(writes) == 1 and not bench.members["m0"].machine.state.leases
+
+
 DIRECTED: dict[str, Callable[[Parts], bool]] = {
     "vote not synced": votes_once_durable,
     "append not synced": acknowledges_once_durable,
@@ -239,6 +283,8 @@
     "older term committed": commits_by_its_own_term,
     "members at once": one_change_at_a_time,
     "no pre-vote": a_lone_member_deposes_nobody,
+    "old copy heard": old_copies_are_not_heard,
+    "ends one by one": many_ends_are_one_write,
 }
 
 
