--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -7,6 +7,7 @@
 
 import sys
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated
@@ -20,7 +21,7 @@
 from fleetlab import runs, scenario, schedule
 from fleetlab.checks import Result
 from fleetlab.fleet import FleetError
-from fleetlab.sim import quorum
+from fleetlab.sim import model, quorum
 from standins.records import HistoryError
 
 HOLDS, FAILS, WRONG, INTERRUPTED = 0, 1, 2, 130
@@ -223,6 +224,24 @@
     raise typer.Exit(FAILS if found.broken else HOLDS)
 
 
+@app.command(name="model")
+def visit(
+    larger: Annotated[bool, typer.Option("--larger", help="Configurations that take minutes, too.")] = False,
+    jobs: Annotated[int, typer.Option(min=1, help="Processes at once.")] = 4,
+) -> None:
+    """Visit every state of small configurations of leases; a rule that breaks is told with its steps."""
+    some = model.SMALL + (model.LARGER if larger else ())
+    broken = 0
+    with interruptible(), ProcessPoolExecutor(jobs) as pool:
+        for limits, found in zip(some, pool.map(model.explore, some), strict=True):
+            word = found.rule or "all rules hold"
+            print(f"{found.states:9} states, {found.transitions:9} steps, {word}: {limits}")
+            broken += bool(found.rule)
+            for label in found.trace if found.rule else ():
+                print(f"    {label}")
+    raise typer.Exit(FAILS if broken else HOLDS)
+
+
 def numbers(text: str, option: str) -> list[int]:
     """Whole numbers between commas."""
     try:
