Let a careless holder be careless for longer than a pause

Cause: the planted holder that acts on after its end gave its lease back after 80 acts, which at 20 ms each is about as long as it acts before the first pause: with two or three acts left it ended within the time that is excused. Ruled out: the quorum (another holder had the newer token, by the resource's own record). Change: a careless one has four times as many.

--- a/fleetlab/holding.py
+++ b/fleetlab/holding.py
@@ -53,9 +53,9 @@
     A careless one, which is planted, goes on where it had to stop: the resource's record has to show it.
     """
     keeping = asyncio.ensure_future(keeper.keep())
-    acts = 0
+    acts, most = 0, 4 * RETURN_AFTER if careless else RETURN_AFTER
     try:
-        while (careless or keeper.may_act()) and acts < RETURN_AFTER:
+        while (careless or keeper.may_act()) and acts < most:
             await task.act(keeper.holding.token)
             acts += 1
             await asyncio.sleep(ACT_S)
