--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -20,7 +20,18 @@
 from fleetlab.fleet import Fleet, Limits, Member, deploy_run, peak_memory_mb, python_run
 from fleetlab.links import Address, Condition, TcpLink
 from fleetlab.resource import ACTS, Act
-from fleetlab.scenario import LINK, ON_LINKS, ON_PARTNERS, ON_PLATFORM, Fault, Program, Scenario, links_of
+from fleetlab.scenario import (
+    ADMIN_PORT,
+    CLIENTS_PORT,
+    LINK,
+    ON_LINKS,
+    ON_PARTNERS,
+    ON_PLATFORM,
+    Fault,
+    Program,
+    Scenario,
+    links_of,
+)
 from fleetlab.schedule import Planned, numbered, what
 from fleetlab.settings import settings
 from standins import clients, records
@@ -28,7 +39,6 @@
 from standins.platform import Entry, Platform
 from standins.scripted import packed
 
-CLIENTS_PORT, ADMIN_PORT = 7000, 7001  # at a relay's own address, which nothing else on the machine uses
 LINKS, CLIENTS, SERVERS, CLAIM, FIRST_RELAY = 2, 3, 4, 1, 10  # last bytes of the run's addresses
 CLAIM_PORT = 1025  # the lab that holds it owns the run's addresses
 KILL_AFTER_S = 3.7  # s from SIGTERM to SIGKILL, as the protocol's page says
@@ -222,7 +232,7 @@
         member = self.fleet.add(name, "", {}, {}, limits)
         for called, port in links_of(program.config):
             if (name, f"{called}:{port}") not in self._links:
-                target = partial(at, self._others[called], port)
+                target = partial(at, self._others.get(called) or self._addresses[called], port)
                 self._link(name, f"{called}:{port}", target, address).open()
         text = LINK.sub(
             lambda found: "{}:{}".format(*self._links[name, f"{found[1]}:{found[2]}"].address), program.config
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -15,6 +15,7 @@
 from standins.partner import Spec
 
 FOLDER = Path(__file__).resolve().parent / "scenarios"
+CLIENTS_PORT, ADMIN_PORT = 7000, 7001  # at a relay's own address
 MOST_RELAYS, MOST_SECONDS = 200, 900.0
 
 # The site's classes and tenants with every time halved, so that a run of half a minute holds whole lives.
@@ -100,7 +101,8 @@
     """Further processes of the project: ``python -m MODULE CONFIG``, called NAME0, NAME1, and so on.
 
     In the configuration's text ``{address}``, ``{number}`` and ``{state}`` stand for the process's own, and
-    ``{link:NAME0:PORT}`` for where it reaches another process's port: a link of the lab.
+    ``{link:NAME0:PORT}`` for where it reaches another process's port: a link of the lab. A relay's ports are
+    7000 for clients and 7001 for operators.
     """
 
     name: str
@@ -192,6 +194,7 @@
     if len(set(names)) < len(names) or len(names) > MOST_RELAYS:
         raise ValueError(f"program: two processes share a name, or there are over {MOST_RELAYS}")
     ports = {name: program.ports for program in scenario.program for name in program.names}
+    ports |= dict.fromkeys(scenario.relay_names, (CLIENTS_PORT, ADMIN_PORT))
     for at, program in enumerate(scenario.program):
         if program.count < 1 or not program.ports or not all(1024 <= port < 65536 for port in program.ports):
             raise ValueError(f"program[{at}]: count has to be above 0, and ports from 1024 on")
--- a/mallowquorum/__main__.py
+++ b/mallowquorum/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 import sys
 from contextlib import suppress
@@ -17,6 +16,7 @@
 from mallowquorum import wire
 from mallowquorum.client import QuorumError, call, leader_of, order, status
 from mallowquorum.config import Address, ConfigError, address_of, load
+from mallowquorum.logs import log_lines
 from mallowquorum.machine import restored
 from mallowquorum.messages import Snapshot
 from mallowquorum.server import Server
@@ -27,19 +27,6 @@
 Json = Annotated[bool, typer.Option("--json", help="Print it as JSON.")]
 
 
-def log_lines() -> None:
-    """JSON lines on standard error."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper("iso"),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
-    )
-
-
 async def serve(path: Path) -> None:
     """Run a member until SIGTERM or SIGINT; SIGHUP reads the members' addresses again."""
     over = asyncio.Event()
--- a/mallowquorum/client.py
+++ b/mallowquorum/client.py
@@ -15,7 +15,19 @@
 from mallowquorum import wire
 from mallowquorum.config import Address
 from mallowquorum.holder import Asking, Bounds, Holding
-from mallowquorum.machine import Acquire, Answer, Close, Done, Held, Open, Put, Refused, Release, Renew
+from mallowquorum.machine import (
+    NO_SESSION,
+    Acquire,
+    Answer,
+    Close,
+    Done,
+    Held,
+    Open,
+    Put,
+    Refused,
+    Release,
+    Renew,
+)
 from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
 from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
 
@@ -28,6 +40,10 @@
     """There is no certain answer in the time that was given."""
 
 
+class SessionError(QuorumError):
+    """The session is over: what it held is not held any more."""
+
+
 def now_us() -> int:
     """The monotonic clock."""
     return time.monotonic_ns() // 1000
@@ -69,6 +85,9 @@
             response = await self._try(request, TRY_S + waits_s)
             certain = response is not None and not isinstance(response, Elsewhere | Unknown)
             if response is not None and certain and not (repeated and isinstance(response, NoRoom)):
+                if response == Refused(NO_SESSION):
+                    self._session = 0
+                    raise SessionError(NO_SESSION)
                 return Got(response, asking.counts_from_us)
             repeated |= not isinstance(response, Elsewhere)
             if isinstance(response, Elsewhere) and response.leader in self._members:
@@ -120,6 +139,11 @@
             self._connection[2].transport.abort()
             self._connection = None
 
+    @property
+    def opened(self) -> bool:
+        """Whether there is a session, as far as is known here."""
+        return bool(self._session)
+
     async def open(self, within_s: float) -> None:
         """Begin a session."""
         got = await self.ask(Open(self._owner), within_s)
--- a/mallowquorum/machine.py
+++ b/mallowquorum/machine.py
@@ -13,6 +13,7 @@
 MOST_SESSIONS, MOST_LEASES, MOST_RECORDS = 8192, 4096, 4096
 MOST_NAME, MOST_VALUE = 128, 64 * 1024  # bytes of a name and of a record
 MOST_BYTES = 8 * 1024 * 1024  # of all records: the state has to pass in one frame
+NO_SESSION = "no such session"
 RESTORED_TOKENS = 1_000_000_000  # more than any quorum gives between a copy and its restoration
 MOST_TTL_MS, LEAST_TTL_MS = 600_000, 100
 MOST_DELAY_MS = 600_000
@@ -262,7 +263,7 @@
         """A session's command: a repeat of the last gets its answer again, an older one none."""
         session = self.state.sessions.get(command.session)
         if session is None:
-            return Refused("no such session")
+            return Refused(NO_SESSION)
         if command.seq == session.seq:
             return session.answer
         if command.seq < session.seq:
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -392,7 +392,15 @@
             raise WireError(f"there are {MOST_CLIENTS} clients")
         self._clients += 1
         try:
-            while body := await wire.read_frame(reader, MOST_ASKED, STILL_S):
+            while True:
+                try:
+                    body = await wire.read_frame(reader, MOST_ASKED, STILL_S)
+                except TimeoutError:
+                    if any(asker is writer for asker, _, _ in self._asked.values()):
+                        continue  # it waits for an answer
+                    return
+                if not body:
+                    return
                 self._serve(writer, wire.decoded(wire.asked_decoder, body))
                 await writer.drain()
         finally:
--- /dev/null
+++ b/mallowquorum/tasks.py
@@ -0,0 +1,184 @@
+"""Fleet tasks: a named task is done by one of many processes, step by step, from a state that is kept.
+
+The task's lease is ``task/NAME``, its state the record of the same name. A step is handed the state and the
+token, and gives the next state, which is written only while the lease is in force under that token: a holder
+that was stopped for longer than its lease writes nothing. A step may be done twice, when its holder is lost
+before the state is written, so what it does elsewhere has to bear that, or be fenced by the token.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Mapping
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Protocol, TypeVar
+
+import structlog
+
+from mallowquorum.client import Client, Keeper, QuorumError, now_us
+from mallowquorum.config import Address
+from mallowquorum.holder import Bounds
+from mallowquorum.machine import Done
+
+LOG = structlog.get_logger("mallowquorum.tasks")
+ASK_S = 5.0  # s for an answer of the quorum, before it is tried anew with another session
+AGAIN_S = (0.1, 5.0)  # s between tries without a quorum: at first, and at most
+MOST_TURN_MS = 20_000  # of waiting in turn, before it is asked anew
+MOST_ERRORS = 3  # steps in a row that fail before another process is let try
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What a step comes to; an empty state, or the one before, is not written."""
+
+    state: bytes
+    pause_s: float = 0.0  # until the next one
+
+
+class Task(Protocol):
+    """What is done."""
+
+    async def step(self, state: bytes, token: int) -> Step:
+        """One step from a state, empty at the very first; cancelled where the lease ends meanwhile."""
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """How a task is held."""
+
+    name: str
+    ttl_ms: int = 3_000
+    delay_ms: int = 0  # after an unclean end
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+@dataclass(slots=True)
+class Count:
+    """What a runner has seen."""
+
+    taken: int = 0  # leases
+    steps: int = 0
+    errors: int = 0  # steps that failed
+    lost: int = 0  # leases that ended under a step or before a state was written
+
+
+class Runner:
+    """One process's part in a task: waits for its turn, and does the task while it holds the lease."""
+
+    def __init__(self, members: Mapping[str, Address], owner: str, task: Task, *, terms: Terms) -> None:
+        self._random = Random()
+        self._task, self._terms, self._place = task, terms, f"task/{terms.name}"
+        # Two sessions: a renewal must not wait behind a record.
+        self._leases, self._records = Client(members, owner), Client(members, owner)
+        self._keeper: Keeper | None = None
+        self.count = Count()
+
+    @property
+    def token(self) -> int:
+        """Under which it acts; 0 where it does not."""
+        return self._keeper.holding.token if self._keeper is not None and self._keeper.may_act() else 0
+
+    async def run(self, over: asyncio.Event) -> None:
+        """Take part until that is set; then give the lease back in order."""
+        pause_s = AGAIN_S[0]
+        while not over.is_set():
+            try:
+                await self._turn(over)
+                pause_s = AGAIN_S[0]
+            except QuorumError as error:
+                LOG.warning("no quorum", task=self._terms.name, why=str(error))
+                await self._idle(over, pause_s * self._random.uniform(0.5, 1.5))
+                pause_s = min(2 * pause_s, AGAIN_S[1])
+        for client in (self._leases, self._records):
+            try:
+                await client.end(ASK_S)
+            except QuorumError:
+                client.close()
+
+    async def _turn(self, over: asyncio.Event) -> None:
+        """Wait for the lease and do the task while it lasts."""
+        for client in (self._leases, self._records):
+            if not client.opened:
+                await client.open(ASK_S)
+        self._keeper = keeper = Keeper(self._leases, self._place, self._terms.ttl_ms, self._terms.bounds)
+        wait_ms = min(10 * self._terms.ttl_ms, MOST_TURN_MS)
+        waits = keeper.take(wait_ms, ASK_S + wait_ms / 1000, self._terms.delay_ms)
+        if not await self._unless(over, waits):
+            return
+        self.count.taken += 1
+        LOG.info("task taken", task=self._terms.name, token=keeper.holding.token)
+        keeping = asyncio.ensure_future(keeper.keep())
+        try:
+            await self._work(keeper, over)
+        finally:
+            keeping.cancel()
+            await asyncio.gather(keeping, return_exceptions=True)
+            if keeper.may_act():
+                await keeper.give_back(ASK_S)
+            else:
+                self.count.lost += 1
+                LOG.warning("task lost", task=self._terms.name)
+
+    async def _work(self, keeper: Keeper, over: asyncio.Event) -> None:
+        told = await self._records.read(ASK_S, key=self._place)
+        version, state, errors = told.version, told.value, 0
+        while keeper.may_act() and not over.is_set() and errors < MOST_ERRORS:
+            token = keeper.holding.token
+            try:
+                step = await self._covered(keeper, over, self._task.step(state, token))
+            except Exception as error:  # whatever a task does, the runner goes on
+                errors, step = errors + 1, Step(b"", AGAIN_S[0] * 2**errors)
+                self.count.errors += 1
+                LOG.error("a step failed", task=self._terms.name, why=repr(error))
+            else:
+                errors = 0
+            if step is None:
+                return
+            if step.state and step.state != state:
+                answer = await self._records.put(
+                    self._place, version, step.state, lease=self._place, token=token, within_s=ASK_S
+                )
+                if not isinstance(answer, Done):
+                    keeper.holding.lost()
+                    LOG.warning("a state was not written", task=self._terms.name, why=str(answer))
+                    return
+                version, state = answer.version, step.state
+            self.count.steps += not errors
+            await self._covered(keeper, over, asyncio.sleep(step.pause_s))
+
+    async def _covered(self, keeper: Keeper, over: asyncio.Event, work: Coroutine[Any, Any, T]) -> T | None:
+        """Do something while the lease lasts; None where it was cut off, in time before the end."""
+        doing, ended = asyncio.ensure_future(work), asyncio.ensure_future(over.wait())
+        try:
+            while True:
+                left_s = (keeper.holding.stop_us - now_us()) / 1e6
+                if left_s <= 0 or not keeper.may_act() or ended.done():
+                    return None
+                await asyncio.wait({doing, ended}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+                if doing.done():
+                    return doing.result()
+        finally:
+            for task in (doing, ended):
+                task.cancel()
+            await asyncio.gather(doing, ended, return_exceptions=True)
+
+    async def _unless(self, over: asyncio.Event, work: Coroutine[Any, Any, bool]) -> bool:
+        """Wait for something unless the end comes before."""
+        doing, ended = asyncio.ensure_future(work), asyncio.ensure_future(over.wait())
+        try:
+            await asyncio.wait({doing, ended}, return_when=asyncio.FIRST_COMPLETED)
+            return doing.done() and doing.result()
+        finally:
+            for task in (doing, ended):
+                task.cancel()
+            await asyncio.gather(doing, ended, return_exceptions=True)
+
+    @staticmethod
+    async def _idle(over: asyncio.Event, pause_s: float) -> None:
+        try:
+            async with asyncio.timeout(pause_s):
+                await over.wait()
+        except TimeoutError:
+            pass
--- a/mallowquorum/wire.py
+++ b/mallowquorum/wire.py
@@ -160,16 +160,19 @@
 async def read_frame(reader: asyncio.StreamReader, most: int, first_s: float | None = None) -> bytes:
     """The next frame's body; empty where the peer ended between two.
 
-    ``WireError`` for one that is too long or cut off, ``TimeoutError`` where it takes too long.
+    ``WireError`` for one that is too long, cut off or slow, ``TimeoutError`` where none begins in time.
     """
     try:
         async with asyncio.timeout(first_s):
             first = await reader.readexactly(1)
-        async with asyncio.timeout(FRAME_S):
-            size = SIZE.unpack(first + await reader.readexactly(SIZE.size - 1))[0]
-            if not 0 < size <= most:
-                raise WireError(f"a frame of {size} bytes")
-            return await reader.readexactly(size)
+        try:
+            async with asyncio.timeout(FRAME_S):
+                size = SIZE.unpack(first + await reader.readexactly(SIZE.size - 1))[0]
+                if not 0 < size <= most:
+                    raise WireError(f"a frame of {size} bytes")
+                return await reader.readexactly(size)
+        except TimeoutError:
+            raise WireError(f"a frame that does not end within {FRAME_S:g} s") from None
     except asyncio.IncompleteReadError as error:
         if error.partial or error.expected != 1:
             raise WireError("a frame was cut off") from None
--- /dev/null
+++ b/mallowsweep/config.py
@@ -0,0 +1,73 @@
+"""A sweeper's configuration: TOML, checked at the start; what cannot be used is a line with file and key."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from mallowquorum.config import Address, ConfigError, address_of
+from mallowquorum.machine import LEAST_TTL_MS, MOST_TTL_MS
+from mallowsweep.summary import MOST_NAME, MOST_RELAYS
+
+MOST_PACE_PER_S = 200.0
+
+
+class Config(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One sweeper of a fleet; all of them but the name and the address are to be alike."""
+
+    name: str
+    members: dict[str, str]  # the quorum's, by name
+    relays: dict[str, str]  # their operators' addresses, by name
+    operators: str = ""  # where operators read the summary by HTTP; empty: nowhere
+    pace_per_s: float = 5.0  # relays read in a second at most, by all sweepers together
+    timeout_ms: int = 1_000  # of one reading
+    pause_ms: int = 1_000  # between two rounds
+    ttl_ms: int = 3_000  # of the lease
+
+    @property
+    def quorum(self) -> dict[str, Address]:
+        """The members' addresses."""
+        return {name: address_of(text) for name, text in self.members.items()}
+
+
+def check(config: Config) -> None:
+    """What types alone do not tell; ``ConfigError`` begins with the key."""
+    if not config.name or not config.members:
+        raise ConfigError("name, members: they may not be empty")
+    if len(config.relays) > MOST_RELAYS:
+        raise ConfigError(f"relays: there are {len(config.relays)}, and may be {MOST_RELAYS}")
+    for name in config.relays:
+        if len(name.encode()) > MOST_NAME:
+            raise ConfigError(f"relays: {name!r} is over {MOST_NAME} bytes")
+    if not 0 < config.pace_per_s <= MOST_PACE_PER_S:
+        raise ConfigError(f"pace_per_s: {config.pace_per_s} is not above 0 and up to {MOST_PACE_PER_S:.0f}")
+    if not LEAST_TTL_MS <= config.ttl_ms <= MOST_TTL_MS:
+        raise ConfigError(f"ttl_ms: {config.ttl_ms} is not from {LEAST_TTL_MS} to {MOST_TTL_MS}")
+    for key, value in (("timeout_ms", config.timeout_ms), ("pause_ms", config.pause_ms)):
+        if not 1 <= value <= 600_000:
+            raise ConfigError(f"{key}: {value} is not from 1 to 600000")
+    for key, some in (("members", config.members), ("relays", config.relays)):
+        for name, text in some.items():
+            try:
+                address_of(text)
+            except ConfigError as error:
+                raise ConfigError(f"{key}.{name}: {error}") from None
+    if config.operators:
+        address_of(config.operators)
+
+
+def load(path: Path) -> Config:
+    """A configuration file; ``ConfigError`` names file and key."""
+    try:
+        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
+        check(config)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except msgspec.ValidationError as error:
+        reason, _, key = str(error).partition(" - at `$.")
+        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
+    except (tomllib.TOMLDecodeError, ConfigError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return config
--- /dev/null
+++ b/tests/quorum/test_tasks.py
@@ -0,0 +1,276 @@
+"""Fleet tasks: passed over with their state, never two at once, stopped in time; and the sweeper."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import subprocess
+import sys
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from mallowquorum.client import now_us
+from mallowquorum.config import ConfigError
+from mallowquorum.machine import MOST_VALUE
+from mallowquorum.tasks import MOST_ERRORS, Runner, Step, Terms
+from mallowsweep import summary
+from mallowsweep.config import load
+from mallowsweep.summary import FiguresError, Summary, figures_of, following, noted, totals
+from standins.scripted import ROOT
+from tests.quorum.servers import Quorum, quorum, until
+
+TERMS = Terms("count", ttl_ms=600)
+
+
+class Counting:
+    """A task that counts, and notes who is at it when."""
+
+    def __init__(self, name: str, notes: list[tuple[str, int, int]], fails: bool = False) -> None:
+        self.name, self.notes, self.fails = name, notes, fails
+        self.cancelled_us = 0
+
+    async def step(self, state: bytes, token: int) -> Step:
+        """One more."""
+        if self.fails:
+            raise ValueError("planted")
+        self.notes.append((self.name, int(state or b"0"), token))
+        try:
+            await asyncio.sleep(0.03)
+        except asyncio.CancelledError:
+            self.cancelled_us = now_us()
+            raise
+        return Step(b"%d" % (int(state or b"0") + 1))
+
+
+def counting(some: Quorum, name: str, notes: list[tuple[str, int, int]], fails: bool = False) -> Runner:
+    """A process's part in the task."""
+    return Runner(some.members, name, Counting(name, notes, fails), terms=TERMS)
+
+
+async def test_a_task_passes_over_with_its_state(tmp_path: Path) -> None:
+    """Its holder is lost without a word: the next goes on from what was written, under a newer token."""
+    notes: list[tuple[str, int, int]] = []
+    async with quorum(tmp_path) as some:
+        over = asyncio.Event()
+        running = {name: asyncio.ensure_future(counting(some, name, notes).run(over)) for name in "abc"}
+        await until(lambda: len(notes) > 10)
+        first = notes[-1][0]
+        running.pop(first).cancel()
+        await until(lambda: notes[-1][0] != first and len(notes) > 30)
+        over.set()
+        await asyncio.gather(*running.values())
+    turns = [key for key, _ in itertools.groupby(notes, key=lambda note: (note[0], note[2]))]
+    assert [token for _, token in turns] == sorted({token for _, token in turns})
+    states = [state for _, state, _ in notes]
+    assert states == sorted(states)
+    assert len(set(states)) >= len(states) - len(turns)  # a step whose holder was lost may be done again
+
+
+async def test_an_orderly_end_passes_a_task_over_at_once(tmp_path: Path) -> None:
+    """The next has it long before the lease would have run out."""
+    notes: list[tuple[str, int, int]] = []
+    async with quorum(tmp_path) as some:
+        over, other = asyncio.Event(), asyncio.Event()
+        long = Terms("count", ttl_ms=60_000)
+        first = asyncio.ensure_future(Runner(some.members, "a", Counting("a", notes), terms=long).run(over))
+        await until(lambda: len(notes) > 3)
+        second = asyncio.ensure_future(Runner(some.members, "b", Counting("b", notes), terms=long).run(other))
+        over.set()
+        await first
+        await until(lambda: notes[-1][0] == "b")
+        other.set()
+        await second
+
+
+async def test_without_a_quorum_a_task_stops_in_time_and_goes_on_after(tmp_path: Path) -> None:
+    """The step is cut off before the lease is over; nothing is done until members are back."""
+    notes: list[tuple[str, int, int]] = []
+    async with quorum(tmp_path) as some:
+        over = asyncio.Event()
+        runner = counting(some, "a", notes)
+        running = asyncio.ensure_future(runner.run(over))
+        await until(lambda: len(notes) > 3)
+        gone = [name for name in some.voters if name != "q0"]
+        await some.stop(*gone)
+        await until(lambda: runner.token == 0)
+        count = len(notes)
+        await asyncio.sleep(1.0)
+        assert len(notes) == count
+        await some.start(*gone)
+        await until(lambda: len(notes) > count + 3)
+        assert notes[-1][2] > notes[count - 1][2]
+        assert runner.count.lost >= 1
+        over.set()
+        await running
+
+
+async def test_a_task_that_fails_is_let_to_another(tmp_path: Path) -> None:
+    """After some steps in a row; the runner itself goes on."""
+    notes: list[tuple[str, int, int]] = []
+    async with quorum(tmp_path) as some:
+        over = asyncio.Event()
+        bad = counting(some, "bad", notes, fails=True)
+        running = [asyncio.ensure_future(bad.run(over))]
+        await until(lambda: bad.count.errors > 0)
+        running.append(asyncio.ensure_future(counting(some, "good", notes).run(over)))
+        await until(lambda: len(notes) > 3)
+        assert bad.count.errors >= MOST_ERRORS
+        over.set()
+        await asyncio.gather(*running)
+
+
+STATS = "app.requests.{}.served:{}|c\napp.in_flight:{}|g\napp.cost.loops:7|c\n"
+
+
+def test_counts_go_on_over_a_relays_lives() -> None:
+    """A count that is smaller is of a new process; a gauge is of relays that answer."""
+    found = Summary()
+    for at, (served, flying) in enumerate(((10, 3), (25, 4), (5, 1))):
+        noted(found, "r0", float(at), figures_of(STATS.format("x", served, flying).encode()))
+    noted(found, "r1", 3.0, figures_of(STATS.format("x", 7, 2).encode()))
+    assert totals(found) == {"requests.x.served": 25 + 5 + 7, "in_flight": 3}
+    noted(found, "r1", 4.0, None, "no answer in time")
+    assert totals(found) == {"requests.x.served": 37, "in_flight": 1}
+    assert summary.opened(summary.packed(found)) == found
+    assert summary.opened(b"\xff garbage") == Summary()
+
+
+def test_a_summary_of_the_largest_fleet_fits_a_record() -> None:
+    """With large counts, and with a relay that says a lot."""
+    found = Summary()
+    many = "".join(f"app.requests.class-{number}.served:{10**12}|c\n" for number in range(100))
+    for number in range(summary.MOST_RELAYS):
+        for life in (10**12, 10**9):
+            lines = "".join(f"app.requests.class-{item}.served:{life}|c\n" for item in range(12))
+            noted(found, f"relay-{number:018}", 1e9, figures_of((lines + many).encode()))
+    assert len(found.names) <= summary.MOST_FIGURES
+    assert len(summary.packed(found)) < MOST_VALUE
+
+
+@pytest.mark.parametrize("body", [b"", b"<html>", b"app.x:1", b"app.x:-1|c", b"app.x:1|z", b"\xff:1|c|"])
+def test_what_are_no_figures_is_told(body: bytes) -> None:
+    """And nothing of it is taken."""
+    with pytest.raises(FiguresError):
+        figures_of(body)
+
+
+def test_relays_are_read_in_turn() -> None:
+    """Whoever reads, and whoever is new or gone."""
+    found = Summary(position="b")
+    assert following(found, ["d", "a", "b", "c"], 1) == (["c"], False)
+    assert following(found, ["d", "a", "b", "c"], 5) == (["c", "d"], True)
+    assert following(Summary(position="z"), ["a"], 3) == ([], True)
+
+
+@pytest.mark.parametrize(
+    ("line", "key"),
+    [
+        ("pace_per_s = 0", "pace_per_s"),
+        ("ttl_ms = 1", "ttl_ms"),
+        ("timeout_ms = 0", "timeout_ms"),
+        ("speed = 1", "speed"),
+        ('[relays]\nr0 = "nowhere"', "relays.r0"),
+    ],
+)
+def test_a_sweepers_bad_configuration_is_one_line(tmp_path: Path, line: str, key: str) -> None:
+    """With file and key."""
+    path = tmp_path / "sweep.toml"
+    head, _, table = line.partition("[relays]")
+    relays = "[relays]" + table if table else "[relays]"
+    path.write_text(f'name = "s"\n{head}\n{relays}\n[members]\nq0 = "127.0.0.1:1"\n')
+    with pytest.raises(ConfigError) as error:
+        load(path)
+    assert key in str(error.value)
+    assert "\n" not in str(error.value)
+
+
+class Relays:
+    """Relays' operators' addresses that answer with figures, and note each call."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, str] = {}
+        self.calls: list[str] = []
+        self._servers: list[asyncio.Server] = []
+
+    async def start(self, names: list[str]) -> None:
+        """Listen for each."""
+        for name in names:
+            server = await asyncio.start_server(partial(self._serve, name), "127.0.0.1", 0)
+            self._servers.append(server)
+            self.addresses[name] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.calls.append(name)
+        body = STATS.format("x", len(self.calls), 1).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        writer.close()
+
+    def stop(self) -> None:
+        """End."""
+        for server in self._servers:
+            server.close()
+
+
+NAMES = ["r0", "r1", "r2", "r3", "r4"]
+
+
+async def test_one_of_two_sweepers_reads_and_the_other_goes_on(tmp_path: Path) -> None:
+    """Real processes: relays are read in turn by one; it is killed, and the next goes on where it was."""
+    relays = Relays()
+    await relays.start(NAMES)
+    async with quorum(tmp_path) as some:
+        await some.leader()
+        paths, members = [], {name: f"{host}:{port}" for name, (host, port) in some.members.items()}
+        for name in ("s0", "s1"):
+            path = tmp_path / f"{name}.toml"
+            lines = [f'name = "{name}"', "pace_per_s = 4.0", "pause_ms = 50", "ttl_ms = 800", "[members]"]
+            lines += [f"{key} = {json.dumps(item)}" for key, item in members.items()]
+            lines += ["[relays]", *(f"{key} = {json.dumps(item)}" for key, item in relays.addresses.items())]
+            path.write_text("\n".join([*lines, 'gone = "127.0.0.1:1"']))
+            paths.append(path)
+        some_processes = [
+            subprocess.Popen([sys.executable, "-m", "mallowsweep", str(path)], cwd=ROOT) for path in paths
+        ]
+        try:
+            client = some.client()
+            await until(lambda: len(relays.calls) > 8, 30)
+            holder = (await client.read(5.0, lease="task/sweep")).owner
+            before = summary.opened((await client.read(5.0, key="task/sweep")).value)
+            some_processes[int(holder[1])].kill()
+            count = len(relays.calls)
+            await until(lambda: len(relays.calls) > count + 12, 30)
+            told = await client.read(5.0, lease="task/sweep", key="task/sweep")
+            after = summary.opened(told.value)
+            assert told.owner == {"s0": "s1", "s1": "s0"}[holder]
+            assert after.rounds > before.rounds
+            assert after.relays["gone"].why
+            assert set(after.relays) == {*NAMES, "gone"}
+            # In turn all along, but where the holder was lost: there at most one step is done again.
+            jumps = [
+                at
+                for at, (one, next_) in enumerate(itertools.pairwise(relays.calls))
+                if not follows(one, next_)
+            ]
+            assert len(jumps) <= 1
+            assert all(count - 5 <= at <= count + 1 for at in jumps)
+            shown = await asyncio.to_thread(
+                subprocess.run,
+                [sys.executable, "-m", "mallowsweep", "summary", str(paths[0])],
+                cwd=ROOT, capture_output=True, text=True, timeout=30, check=True,
+            )  # fmt: skip
+            assert json.loads(shown.stdout)["totals"]["requests.x.served"] > 0
+            client.close()
+        finally:
+            for process in some_processes:
+                process.kill()
+                process.wait()
+            relays.stop()
+
+
+def follows(one: str, other: str) -> bool:
+    """Whether a relay is the next in turn."""
+    return NAMES[(NAMES.index(one) + 1) % len(NAMES)] == other
