Measure a quorum in the lab, and keep it calm without disk, log or peers

Need: figures of leases, and the hard cases that had no scenario. Found by them and mended: a member alone behind a gateway that takes connections and ends them called it again at once, for 10 s of processor in a minute; a log line that a full disk refused ended the task that writes to the disk. Ruled out for the first: elections (a try each 450 ms) and clients (1.1 s at the others).

--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -67,6 +67,9 @@
         console = Console()
         console.print(counts_table(result))
         console.print(checks_table(result))
+        for name, figures in sorted(result.figures.items()):
+            told = ", ".join(f"{figure} {value:g}" for figure, value in figures.items())
+            console.print(f"{name}: {told}", soft_wrap=True)
         word = "all checks hold" if result.ok else "a check failed"
         console.print(
             f"{word if result.valid else 'invalid: the lab itself was late'}; the run is in {folder}"
--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import cached_property
+from statistics import median
 
 import msgspec
 
@@ -145,6 +146,7 @@
         self.probes: list[records.Probed] = []
         self.unsent: list[records.Unsent] = []
         self.acts: list[records.Acted] = []
+        self.measured: dict[str, dict[str, float]] = {}  # by program; of its last life
         self.told: dict[str, list[records.Told]] = defaultdict(list)
         self.changed: list[records.Changed] = []
         self.lives: dict[str, list[Life]] = defaultdict(list)
@@ -194,6 +196,8 @@
                 self.used[record.name] = record
             case records.Acted():
                 self.acts.append(record)
+            case records.Measured():
+                self.measured[record.name] = record.figures
             case records.Changed():
                 self.changed.append(record)
             case records.Fault():
@@ -655,6 +659,36 @@
     relays_cpu_s: float
     relays: int
     worth: float
+    figures: dict[str, dict[str, float]] = {}  # what programs measured, and how leases passed over
+
+
+def handovers(run: Run) -> dict[str, float]:
+    """By the fenced resource's record: from the last act under a token to the first under the next, in ms."""
+    gaps, newest = list[float](), dict[str, records.Acted]()
+    for act in sorted(
+        (act for act in run.acts if act.resource == "fenced" and act.admitted), key=lambda a: a.t
+    ):
+        last = newest.get(act.lease)
+        if last is not None and act.token > last.token:
+            gaps.append((act.t - last.t) * 1000)
+        newest[act.lease] = act
+    if not gaps:
+        return {}
+    return {
+        "handovers": len(gaps), "handover_ms_median": round(median(gaps), 1),
+        "handover_ms_most": round(max(gaps), 1),
+    }  # fmt: skip
+
+
+def figures_of(run: Run) -> dict[str, dict[str, float]]:
+    """What programs measured, what further processes used, and how leases passed over."""
+    found = {name: dict(figures) for name, figures in run.measured.items()}
+    for name, used in run.used.items():
+        if name not in run.head.relays and name != "lab":
+            found.setdefault(name, {}).update(cpu_s=used.cpu_s, peak_mb=used.peak_mb)
+    if passed := handovers(run):
+        found["leases"] = passed
+    return found
 
 
 def counts_of(run: Run, found: dict[str, list[Finding]]) -> dict[str, int]:
@@ -764,6 +798,6 @@
         valid=run.lag_s <= INVALID_LAG_S, checks=checks, counts=counts_of(run, found),
         seconds=round(run.over, 3), recover_s=recover_s(run), lab_late_s=round(run.lag_s, 4),
         lab_cpu_s=lab.cpu_s if lab else 0.0, relays_cpu_s=round(sum(relays), 3),
-        relays=len(run.head.relays), worth=round(worth_of(run), 4),
+        relays=len(run.head.relays), worth=round(worth_of(run), 4), figures=figures_of(run),
     )  # fmt: skip
     return result, found
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from fleetlab.crowd import FIGURES
 from fleetlab.fleet import Fleet, Limits, Member, deploy_run, peak_memory_mb, python_run
 from fleetlab.links import Address, Condition, TcpLink
 from fleetlab.resource import ACTS, Act
@@ -128,7 +129,7 @@
             await self._open()
             await self._start(command)
             await self._load()
-            self._take_acts()
+            self._take_notes()
         finally:
             for task in list(self._tasks):
                 task.cancel()
@@ -324,8 +325,12 @@
             await asyncio.sleep(0.05)
         self.history(records.Phase(self._clock.now(), "over"))
 
-    def _take_acts(self) -> None:
-        """What resources noted by themselves, on the clock that all processes of a machine share."""
+    def _take_notes(self) -> None:
+        """What programs noted by themselves, on the clock that all processes of a machine share."""
+        for member in self.fleet.members.values():
+            for path in sorted(member.state.glob(f"{FIGURES}-*.json")):
+                figures = msgspec.json.decode(path.read_bytes(), type=dict[str, float])
+                self.history(records.Measured(self._clock.now(), member.name, figures))
         decode = msgspec.json.Decoder(Act).decode
         for member in self.fleet.members.values():
             path = member.state / ACTS
--- /dev/null
+++ b/fleetlab/stepped.py
@@ -0,0 +1,37 @@
+"""A program whose wall clock steps by hours, ``python -m fleetlab.stepped CONFIG``.
+
+The first line of the configuration names the program: ``# runs: MODULE``. Its monotonic clock stays as it is.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+import time
+from pathlib import Path
+
+EVERY_S, STEP_S = 0.7, 5 * 3600.0
+_wall_s, _wall_ns = time.time, time.time_ns
+
+
+def offset_s() -> float:
+    """Forth and back by hours, again and again."""
+    return STEP_S * (int(time.monotonic() / EVERY_S) % 3 - 1)
+
+
+def stepped(module: str) -> None:
+    """Run a module in this process, with a wall clock that steps."""
+
+    def seconds() -> float:
+        return _wall_s() + offset_s()
+
+    def nanoseconds() -> int:
+        return _wall_ns() + int(offset_s() * 1e9)
+
+    time.time, time.time_ns = seconds, nanoseconds
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    line = Path(sys.argv[1]).read_text(encoding="utf-8").partition("\n")[0]
+    stepped(line.removeprefix("# runs: "))
--- a/mallowquorum/logs.py
+++ b/mallowquorum/logs.py
@@ -4,10 +4,33 @@
 
 import logging
 import sys
+from typing import TextIO, cast
 
 import structlog
 
 
+class Lines:
+    """A stream for the log; what it cannot take, on a full disk or a closed pipe, is left out and counted."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream, self.left_out = stream, 0
+
+    def write(self, text: str) -> int:
+        """One line, or nothing: no service ends for its log."""
+        try:
+            return self._stream.write(text)
+        except (OSError, ValueError):
+            self.left_out += 1
+            return 0
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+        try:
+            self._stream.flush()
+        except (OSError, ValueError):
+            self.left_out += 1
+
+
 def log_lines() -> None:
     """Set it up, for the whole process."""
     structlog.configure(
@@ -17,5 +40,5 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=lambda *_: structlog.WriteLogger(cast(TextIO, Lines(sys.stderr))),
     )
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -67,25 +67,27 @@
         self._queue.put_nowait(frame(message))
 
     async def run(self) -> None:
-        """Connect, send, and again."""
+        """Connect, send, and again; the pauses grow unless a connection has lasted."""
         pause_s = AGAIN_S[0]
         while True:
+            begun_us = now_us()
             try:
                 async with asyncio.timeout(AGAIN_S[1]):
                     reader, writer = await asyncio.open_connection(*self.address)
             except (OSError, TimeoutError):
-                await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5))
-                pause_s = min(2 * pause_s, AGAIN_S[1])
-                continue
-            pause_s = AGAIN_S[0]
-            try:
-                await self._send_all(reader, writer)
-            except (OSError, TimeoutError, WireError):
                 pass
-            finally:
-                writer.transport.abort()
-            if self.turned:
-                await asyncio.sleep(AGAIN_S[1])
+            else:
+                begun_us = now_us()
+                try:
+                    await self._send_all(reader, writer)
+                except (OSError, TimeoutError, WireError):
+                    pass
+                finally:
+                    writer.transport.abort()
+            if now_us() - begun_us > AGAIN_S[1] * 1e6:
+                pause_s = AGAIN_S[0]
+            await asyncio.sleep(AGAIN_S[1] if self.turned else pause_s * self._random.uniform(0.5, 1.5))
+            pause_s = min(2 * pause_s, AGAIN_S[1])
 
     async def _send_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         ended = asyncio.ensure_future(wire.read_frame(reader, MOST_ASKED))  # its end, and perhaps why
--- a/standins/records.py
+++ b/standins/records.py
@@ -186,6 +186,13 @@
     admitted: bool
 
 
+class Measured(Record, frozen=True, tag="measured"):
+    """What a program of the run has measured by itself, by the name of the figure and with its unit in it."""
+
+    name: str
+    figures: dict[str, float]
+
+
 class Phase(Record, frozen=True, tag="phase"):
     """The run itself: ``load`` begins, ``rest`` (nothing new is handed in), ``over``."""
 
@@ -208,7 +215,7 @@
 
 AnyRecord = (
     Head | Handed | Heard | Unsent | Call | Ran | Reply | Opened | Gone | Probed | Told | Changed | Noticed
-    | Partner | Fault | Acted | Process | Phase | Lag | Used
+    | Partner | Fault | Acted | Measured | Process | Phase | Lag | Used
 )  # fmt: skip
 Sink = Callable[[AnyRecord], None]
 _ENCODER, _DECODER = msgspec.json.Encoder(), msgspec.json.Decoder(AnyRecord)
