Let requests that come together be one step, and tries of a client grow

Cause: 1,000 holders brought the quorum down. Each try of a client ended after 0.5 s and came again on a new connection, so that what had made answers slow got more of it and nothing recovered: 1 to 10 leases held of each 250, 382 to 494 errors. Ruled out: descriptors (the same with 4,096), the members themselves (without the lab's links all 1,000 held, p99 of a renewal 98 ms), crashes and elections (none in the logs). Change: a try that got no answer lets the next wait twice as long, up to 4 s; requests that a member reads in one turn of its loop are one write and one message to each other member; holders of a crowd in several processes have names of their own.

--- a/fleetlab/crowd.py
+++ b/fleetlab/crowd.py
@@ -85,7 +85,8 @@
         self._client, self._tally = Client(members, f"{config['name']}-{number}"), tally
         self._ttl_ms, self._hold_s = int(config["ttl_ms"]), int(config["hold_ms"]) / 1000
         one = config["lease"] == "one"
-        self._lease, self._wait_ms = "one" if one else f"own-{number}", 15_000 if one else 2 * self._ttl_ms
+        self._lease = "one" if one else f"{config['name']}-{number}"
+        self._wait_ms = 15_000 if one else 2 * self._ttl_ms
 
     async def run(self, random: Random) -> None:
         """Until the process ends."""
--- a/mallowquorum/client.py
+++ b/mallowquorum/client.py
@@ -31,7 +31,7 @@
 from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
 from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
 
-TRY_S = 0.5  # s for one try, beside what the request itself may wait
+TRY_S, MOST_TRY_S = 0.5, 4.0  # s for a first try, beside what the request itself may wait, and for later ones
 CONNECT_S = 0.5
 PAUSES_S = (0.02, 1.0)  # between tries: at first, and at most
 
@@ -77,12 +77,12 @@
             raise QuorumError(f"no certain answer within {within_s:g} s") from None
 
     async def _ask(self, request: Request, within_s: float) -> Got:
-        asking, pause_s, repeated = Asking(), PAUSES_S[0], False
+        asking, pause_s, try_s, repeated = Asking(), PAUSES_S[0], TRY_S, False
         until_us = now_us() + int(within_s * 1e6)
         waits_s = request.wait_ms / 1000 if isinstance(request, Wait | Watch) else 0.0
         while now_us() < until_us:
             asking.sent(now_us())
-            response = await self._try(request, TRY_S + waits_s)
+            response = await self._try(request, try_s + waits_s)
             certain = response is not None and not isinstance(response, Elsewhere | Unknown)
             if response is not None and certain and not (repeated and isinstance(response, NoRoom)):
                 if response == Refused(NO_SESSION):
@@ -90,6 +90,8 @@
                     raise SessionError(NO_SESSION)
                 return Got(response, asking.counts_from_us)
             repeated |= not isinstance(response, Elsewhere)
+            if response is None:
+                try_s = min(2 * try_s, MOST_TRY_S)  # it may be slow, and asking again makes it slower
             if isinstance(response, Elsewhere) and response.leader in self._members:
                 moved = self._leader != response.leader
                 self._leader = response.leader
--- a/mallowquorum/member.py
+++ b/mallowquorum/member.py
@@ -172,6 +172,8 @@
         self.watching: Waiting[Watch] = Waiting(MOST_WATCHERS)
         self._asked: dict[int, Request] = {}  # by tag
         self._inner = 0  # tags of the leader's own proposals are negative
+        self._proposals: list[tuple[int, bytes]] = []  # of this step, by tag
+        self._reads: list[int] = []  # of this step
         self._granting: set[str] = set()  # leases for which a waiter's turn is being decided
         self._out: list[Out] = []
 
@@ -206,19 +208,25 @@
 
     def request(self, now_us: int, tag: int, request: Request) -> list[Out]:
         """A client's request; it is answered once, now or later."""
+        return self.request_all(now_us, [(tag, request)])
+
+    def request_all(self, now_us: int, some: list[tuple[int, Request]]) -> list[Out]:
+        """Requests that came together: one write, and one message to each other member, for all of them."""
         self._now_us = now_us
+        for tag, request in some:
+            self._request(tag, request)
+        return self._taken()
+
+    def _request(self, tag: int, request: Request) -> None:
         if fault := fault_of(request):
             self._reply(tag, Refused(fault))
         elif self.raft.role is not Role.LEADER:
             self._reply(tag, Elsewhere(self.raft.leader))
         elif isinstance(request, Read | Watch):
             self._asked[tag] = request
-            self._carry(self.raft.read(now_us, tag))
-        elif isinstance(request, Wait) and request.wait_ms > 0 and self._queued(tag, request):
-            pass
-        else:
+            self._reads.append(tag)
+        elif not (isinstance(request, Wait) and request.wait_ms > 0 and self._queued(tag, request)):
             self._propose(tag, request)
-        return self._taken()
 
     def gone(self, tags: list[int]) -> None:
         """Who asked these hears no answer any more: they wait for nothing."""
@@ -261,6 +269,12 @@
         self._carry(self.raft.compact(self.applied, self.machine.snapshot()))
 
     def _taken(self) -> list[Out]:
+        if self._proposals:
+            some, self._proposals = self._proposals, []
+            self._carry(self.raft.propose_all(self._now_us, some))
+        if self._reads:
+            tags, self._reads = self._reads, []
+            self._carry(self.raft.read(self._now_us, *tags))
         if len(self.raft.log) > COMPACT_AT and self.applied > self.raft.log.snapshot.index:
             self._compact()
         out, self._out = self._out, []
@@ -278,14 +292,12 @@
             self._reply(tag, NoRoom(FULL))
             return
         self._asked[tag] = request
-        self._carry(self.raft.propose(self._now_us, tag, msgspec.msgpack.encode(command)))
+        self._proposals.append((tag, msgspec.msgpack.encode(command)))
 
     def _propose_own(self, commands: Sequence[machine.Expire | machine.Free | Shun]) -> None:
-        some = []
         for command in commands:
             self._inner -= 1
-            some.append((self._inner, msgspec.msgpack.encode(command)))
-        self._carry(self.raft.propose_all(self._now_us, some))
+            self._proposals.append((self._inner, msgspec.msgpack.encode(command)))
 
     def _carry(self, actions: list[Action]) -> None:
         for action in actions:
@@ -302,6 +314,10 @@
                 case Readable():
                     self._readable(action.tag)
                 case Dropped():
+                    dropped = self._asked.get(action.tag)
+                    if isinstance(dropped, Wait | Acquire):
+                        acquire = dropped.acquire if isinstance(dropped, Wait) else dropped
+                        self._granting.discard(acquire.lease)
                     self._reply(action.tag, Unknown() if action.unknown else Elsewhere(self.raft.leader))
         if self.raft.role is not Role.LEADER and (self._ready or self.waiting or self.watching):
             self._follow()
@@ -382,8 +398,7 @@
         over = self.watching.over(self._now_us)
         for item in over:
             self._asked[item.tag] = Read(item.request.lease, item.request.key)
-        if over:
-            self._carry(self.raft.read(self._now_us, *(item.tag for item in over)))
+        self._reads += [item.tag for item in over]
 
     # Reading
 
@@ -394,7 +409,7 @@
                 for item in some:
                     left_ms = max(1, (item.until_us - self._now_us) // 1000)
                     self._asked[item.tag] = msgspec.structs.replace(item.request, wait_ms=left_ms)
-                self._carry(self.raft.read(self._now_us, *(item.tag for item in some)))
+                self._reads += [item.tag for item in some]
 
     def _readable(self, tag: int) -> None:
         request = self._asked.get(tag)
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -23,7 +23,7 @@
 from mallowquorum.figures import Figures
 from mallowquorum.lives import Claim, Lives
 from mallowquorum.machine import Done, Refused
-from mallowquorum.member import Elsewhere, Member, Out, Reply, Shunned, Together
+from mallowquorum.member import Elsewhere, Member, Out, Reply, Request, Shunned, Together
 from mallowquorum.messages import Message, Persist, Send
 from mallowquorum.raft import Role, Timing
 from mallowquorum.store import FULL, Store
@@ -146,6 +146,7 @@
         self._due_us = 0
         self._asked: dict[int, tuple[asyncio.StreamWriter, int, str]] = {}  # by tag: who, its number, what
         self._tag = 0
+        self._together: list[tuple[int, Request]] = []  # that came in this turn of the loop
         self._open: set[asyncio.StreamWriter] = set()
         self._clients = 0
         self._disk = ""
@@ -416,7 +417,9 @@
         match asked:
             case wire.Ask():
                 tag = self._noted(writer, asked.number, type(asked.request).__name__)
-                self._did(self._member.request(now_us(), tag, asked.request))
+                if not self._together:
+                    asyncio.get_running_loop().call_soon(self._ask_all)
+                self._together.append((tag, asked.request))
             case wire.Status():
                 writer.write(frame(self.health(asked.number)))
             case wire.Leases():
@@ -434,6 +437,11 @@
             case wire.Change():
                 self._change(writer, asked)
 
+    def _ask_all(self) -> None:
+        """Requests that came in one turn of the loop are one step."""
+        some, self._together = self._together, []
+        self._did(self._member.request_all(now_us(), some))
+
     def _noted(self, writer: asyncio.StreamWriter, number: int, asked: str) -> int:
         """A tag by which an answer comes back to who asked."""
         self._tag += 1
