--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of members that know each other."""
--- /dev/null
+++ b/tests/peers/test_sim.py
@@ -0,0 +1,184 @@
+"""The core under the simulator: views agree, the lost are found, the living are left alone; bugs are not."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from fleetlab.sim.peers import PeersSim, Plan
+from fleetlab.sim.world import Weather
+from mallowpeers.core import SECOND, Peers, Settings
+from mallowpeers.messages import Gossip, Replaced, State, Update
+
+SIZES = (3, 40)
+FAST = Settings(period_us=SECOND // 2, ack_us=150_000, exchange_us=5 * SECOND, again_us=2 * SECOND)
+FAR = Weather(lost=0.01, least_us=50_000, most_us=130_000)
+BAD = Weather(lost=0.3, doubled=0.1, late=0.1, least_us=200, most_us=3_000)
+
+
+def fleet(seed: int, plan: Plan) -> PeersSim:
+    """One that has come up and agrees."""
+    sim = PeersSim(seed, plan)
+    sim.start_all(SECOND)
+    sim.run(1.0)
+    assert sim.until_agreed(30) is not None
+    return sim
+
+
+@pytest.mark.parametrize("members", SIZES)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_lost_member_is_found_by_all_and_a_new_life_is_taken_for_one(members: int, seed: int) -> None:
+    """Within the longest suspicion and some rounds; nobody else is declared failed."""
+    sim = fleet(seed, Plan(members=members, settings=FAST))
+    sim.kill("m1")
+    sim.run(40)
+    found = sim.detection_s("m1")
+    assert found is not None
+    assert found[1] < 25
+    assert sim.agreed()
+    sim.restart("m1")
+    assert sim.until_agreed(20) is not None
+    assert sim.false_alarms == []
+
+
+def test_two_halves_find_together_again() -> None:
+    """Each holds the other failed after a while; once the way is open all are back, by their own word."""
+    sim = fleet(1, Plan(members=20, settings=FAST))
+    sim.halve()
+    sim.run(60)
+    assert {len(view) for view in sim.views().values()} == {10}
+    sim.heal()
+    assert sim.until_agreed(60) is not None
+    assert sim.false_alarms == []
+
+
+def test_most_are_lost_at_once_and_come_back_at_once() -> None:
+    """Seven in ten."""
+    sim = fleet(2, Plan(members=30, settings=FAST))
+    gone = sim.names[3:24]
+    sim.kill(*gone)
+    sim.run(60)
+    assert sim.agreed()
+    sim.restart(*gone)
+    assert sim.until_agreed(60) is not None
+    assert sim.false_alarms == []
+
+
+def test_rolling_restarts_end_in_agreement() -> None:
+    """Each is gone for a moment that is shorter than any suspicion."""
+    sim = fleet(3, Plan(members=20, settings=FAST))
+    for name in sim.names:
+        sim.kill(name)
+        sim.run(0.3)
+        sim.restart(name)
+        sim.run(0.3)
+    assert sim.until_agreed(40) is not None
+    assert all(node.generation == 2 for node in sim.nodes.values())
+
+
+def alarms(plan: Plan, seeds: range, slow: int = 0, seconds: float = 60) -> int:
+    """Living, reachable, timely members that were declared failed, over some runs."""
+    count = 0
+    for seed in seeds:
+        sim = fleet(seed, replace(plan, weather=Plan().weather))
+        sim.network.weather = plan.weather
+        for name in sim.names[:slow]:
+            sim.stop_and_go(name, 0.15, seconds)
+        sim.run(seconds)
+        count += len(sim.false_alarms)
+    return count
+
+
+def test_losses_make_nobody_fail() -> None:
+    """Three in ten datagrams, some doubled and some late; without indirect probes they do."""
+    plan = Plan(members=20, settings=FAST, weather=BAD)
+    assert alarms(plan, range(3)) == 0
+    hasty = replace(FAST, indirect=0, suspicion=1.0, patience=1.0)
+    assert alarms(replace(plan, settings=hasty), range(3)) > 0
+
+
+def test_slow_members_make_no_healthy_one_fail() -> None:
+    """A tenth that run by fits and starts; without patience, or where nobody refutes, they do."""
+    plan = Plan(members=20, settings=FAST, weather=FAR)
+    assert alarms(plan, range(3), slow=2) == 0
+    hasty = replace(FAST, suspicion=0.5, patience=1.0, most_health=0)
+    assert alarms(replace(plan, settings=hasty), range(2), slow=2) > 0
+    assert alarms(replace(plan, core=NeverRefutes), range(2), slow=2) > 0
+
+
+def test_the_load_of_a_member_does_not_grow_with_the_fleet() -> None:
+    """Datagrams a member and second with nothing going on; and none is larger than a datagram may be."""
+
+    def rate(members: int) -> float:
+        sim = fleet(1, Plan(members=members))
+        sim.run(20)
+        before = sum(sim.sent.values())
+        sim.run(30)
+        return (sum(sim.sent.values()) - before) / 30 / members
+
+    assert rate(60) < 1.5 * rate(10) < 6
+
+
+class GenerationIgnored(Peers):
+    """What is said of an old life counts for the new one."""
+
+    def _overrides(self, update: Update, held: Update) -> bool:
+        return update.state > held.state or update.number > held.number
+
+
+class NumberIgnored(Peers):
+    """A suspicion that was refuted counts again."""
+
+    def _overrides(self, update: Update, held: Update) -> bool:
+        if update.generation != held.generation:
+            return update.generation > held.generation
+        return update.state is not held.state
+
+
+class NeverRefutes(Peers):
+    """Says nothing when it is suspected."""
+
+    def _hear_of_me(self, update: Update) -> None:
+        return
+
+
+def churned(core: type[Peers], seed: int) -> tuple[bool, int]:
+    """A fleet with losses, restarts and a cut: whether it agrees within a minute after, and false alarms."""
+    sim = PeersSim(seed, Plan(members=12, settings=FAST, core=core))
+    sim.start_all(SECOND)
+    sim.run(10)
+    sim.network.weather = BAD
+    sim.kill("m3", "m4")
+    sim.run(15)
+    sim.restart("m3")
+    ways = {("m5", name) for name in sim.names if name != "m5"}
+    sim.cut(ways)  # it hears, and is not heard
+    sim.run(15)
+    sim.restart("m4")
+    sim.heal()
+    sim.network.weather = Plan().weather
+    return sim.until_agreed(60) is not None, len(sim.false_alarms)
+
+
+def test_a_fleet_that_was_shaken_agrees() -> None:
+    """Whatever the seed."""
+    assert [churned(Peers, seed) for seed in range(5)] == [(True, 0)] * 5
+
+
+@pytest.mark.parametrize("core", [GenerationIgnored, NumberIgnored, NeverRefutes])
+def test_a_planted_bug_is_found(core: type[Peers]) -> None:
+    """In one of five schedules at the latest."""
+    assert [churned(core, seed) for seed in range(5)] != [(True, 0)] * 5
+
+
+def test_an_old_life_learns_that_it_is_replaced() -> None:
+    """And says nothing from then on."""
+    sim = fleet(4, Plan(members=5, settings=FAST))
+    core = sim.nodes["m1"].core
+    assert core is not None
+    later = Update("m1", "m1", "", 7, 0, State.ALIVE)
+
+    out = core.receive(sim.nodes["m1"].clock.now_us(), Gossip((later,)))
+    assert any(isinstance(item, Replaced) for item in out)
+    assert core.wake(core.due_us) == []
