Play full disks, a slow member, stepping clocks and crowds with real members in the tests

Need: these stood in scenarios by command alone. Change: three fault sets and a crowd in two shapes for the processes' tests; how often a lease passed over is compared with the tokens that the resource saw.

--- a/tests/quorum/test_processes.py
+++ b/tests/quorum/test_processes.py
@@ -55,15 +55,19 @@
 """
 
 
-def fault(kind: str, at_s: float, for_s: float, *names: str) -> str:
+def fault(kind: str, at_s: float, for_s: float, *names: str, more: str = "") -> str:
     """A fault's table."""
-    return f'[[fault]]\nkind = "{kind}"\nat_s = {at_s}\nfor_s = {for_s}\non = {json.dumps(names)}\n'
+    return f'[[fault]]\nkind = "{kind}"\nat_s = {at_s}\nfor_s = {for_s}\non = {json.dumps(names)}\n{more}\n'
 
 
 HOLDERS = ("holder0", "holder1", "holder2")
 FAULTS = {
     "members killed in turn": fault("kill", 2, 1.5, "quorum0") + fault("kill", 5, 1.5, "quorum1"),
     "all members killed": fault("kill", 3, 1, "quorum0", "quorum1", "quorum2"),
+    "full disks": "".join(
+        fault("limit", at_s, 2, f"quorum{at}", more="file_bytes = 1500") for at, at_s in enumerate((2, 4, 6))
+    ),
+    "a slow member": fault("slow", 2, 5, "quorum0", more="share = 0.1"),
     # Each before the last one goes on: whoever holds the lease stands still while another takes it.
     "holders paused": "".join(
         fault("pause", at_s + 0.5 * at, 1.5, name) for at_s in (1, 5) for at, name in enumerate(HOLDERS)
@@ -87,6 +91,7 @@
     assert result.checks["one_actor"].ok, result.checks["one_actor"]
     assert result.checks["no_crash"].ok
     assert len({act.token for act in acts}) > 3
+    assert result.figures["leases"]["handovers"] == len({act.token for act in acts}) - 1
     assert len({act.holder for act in acts}) >= 2
     assert acts[-1].t > 8.0
 
@@ -102,3 +107,48 @@
         if act.admitted:
             assert act.token >= highest
             highest = act.token
+
+
+def test_wall_clocks_that_step_by_hours_change_nothing(tmp_path: Path) -> None:
+    """Of all members, all the time; a member is killed meanwhile."""
+    text = FLEET.replace("CARELESS", "false").replace('"mallowquorum"', '"fleetlab.stepped"')
+    text = text.replace("config = '''\nname = \"quorum", "config = '''# runs: mallowquorum\nname = \"quorum")
+    plan = runs.planned("leases", scenario.read(text + FAULTS["members killed in turn"], "leases"), 1)
+    result = runs.play(plan, tmp_path / "run", lambda _: None)
+    acts = [act for act in runs.opened(tmp_path / "run").acts if act.resource == "fenced"]
+    log = (tmp_path / "run" / "processes" / "quorum0" / "log").read_text()
+    hours = {line.split("T")[1][:2] for line in log.splitlines() if "timestamp" in line and "T" in line}
+    assert len(hours) > 1  # the clock did step
+    assert result.checks["one_actor"].ok
+    assert acts[-1].t > 8.0
+
+
+CROWD = f"""
+[[program]]
+name = "crowd"
+module = "fleetlab.crowd"
+config = '''
+name = "crowd{{number}}"
+address = "{{address}}"
+state = "{{state}}"
+holders = 30
+lease = "LEASE"
+hold_ms = HOLD
+ttl_ms = 1500
+[members]
+{MEMBERS}
+'''
+"""
+
+
+@pytest.mark.parametrize(("lease", "hold_ms"), [("own", 0), ("one", 20)])
+def test_a_crowd_measures_itself(tmp_path: Path, lease: str, hold_ms: int) -> None:
+    """All hold and renew, or all have their turn at one lease; the figures stand in the run's result."""
+    text = FLEET.partition('[[program]]\nname = "resource"')[0]
+    text += CROWD.replace("LEASE", lease).replace("HOLD", str(hold_ms))
+    plan = runs.planned("leases", scenario.read(text, "leases"), 1)
+    figures = runs.play(plan, tmp_path / "run", lambda _: None).figures["crowd0"]
+    assert figures["grants"] >= 30
+    assert figures["errors"] == 0
+    assert (figures["renewals"] > 100) is (hold_ms == 0)
+    assert figures["cpu_s"] > 0
