--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -217,12 +217,17 @@
     schedules: Annotated[int, typer.Option(min=1, help="How many.")] = 1000,
     seed: Annotated[int, typer.Option(min=0, help="The first one's.")] = 0,
     jobs: Annotated[int, typer.Option(min=1, help="Processes at once.")] = 4,
+    keep: Annotated[Path | None, typer.Option(help="A file for a history: of the first that breaks.")] = None,
 ) -> None:
     """Play schedules of the quorum's core in the simulator; each one that breaks a rule is a line."""
     with interruptible():
         found = quorum.campaign(range(seed, seed + schedules), jobs)
     for number, _, text in found.broken:
         print(f"seed {number}: {text}")
+    if keep is not None:
+        first = found.broken[0][0] if found.broken else seed
+        quorum.kept(first, keep)
+        print(f"the history of schedule {first} is in {keep}")
     print(f"{found.played} schedules, {len(found.broken)} broken: {dict(found.counts)}")
     raise typer.Exit(FAILS if found.broken else HOLDS)
 
--- a/fleetlab/sim/quorum.py
+++ b/fleetlab/sim/quorum.py
@@ -7,7 +7,8 @@
   an index, and the state after it is the same everywhere; ``term``: no term that others heard of goes back;
 - ``token``: none is given twice, and none later is smaller; ``overlap``: no two holders may act at once;
 - ``late``: a holder that had to stop does not go on under the same token;
-- ``fence``: the resource takes no older token after a newer; ``once``: a repeated request counts once;
+- ``fence``: the resource takes no older token after a newer (the lab's own checker, on a history of the lab's
+  form with the lab's words for faults); ``once``: a repeated request counts once;
 - ``room``: with all disks full nothing is taken on that makes the state larger;
 - ``linear``: reads and writes of a record are linearizable; ``stuck``: once all is well again, work goes on.
 """
@@ -19,9 +20,14 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
 from functools import partial
+from pathlib import Path
 from random import Random
 from typing import Any
 
+import msgspec
+
+from fleetlab.checks import Run, one_actor
+from fleetlab.scenario import Kind, Scenario
 from fleetlab.sim.linear import FOREVER, Operation, linearizable
 from fleetlab.sim.world import Network, SimClock, SimDisk, Weather, World
 from mallowquorum.clocks import Clocks
@@ -55,6 +61,7 @@
 from mallowquorum.messages import Committed, Message, Persist, Send
 from mallowquorum.raft import Raft, Role, Timing
 from mallowquorum.store import Folded
+from standins import records
 
 SECOND = 1_000_000
 TIMING = Timing(least_election_us=150_000, most_election_us=300_000, heartbeat_us=40_000)
@@ -392,7 +399,7 @@
             # The check is made; the act comes to the resource later, however long that takes.
             token, lease = holding.token, self.lease
             delay_us = random.randint(500, 5_000) + (random.random() < 0.02) * 2 * SECOND
-            self.sim.world.after(delay_us, lambda: self.sim.act(lease, token))
+            self.sim.world.after(delay_us, lambda: self.sim.act(self.name, lease, token))
             self.later(self.go_on, 120_000)
 
     def _renew(self, holding: Holding) -> None:
@@ -477,7 +484,9 @@
         self.nodes = {name: Node(self, name) for name in self.names}
         self.holders = [Holder(self, f"h{number}") for number in range(plan.holders)]
         self.fences: dict[str, Fence] = {lease: self.parts.fence() for lease in LEASES}
-        self.acts: dict[str, list[int]] = defaultdict(list)
+        head = msgspec.to_builtins(Scenario(about="a schedule of the quorum"))
+        self.history: list[records.AnyRecord] = [records.Head(0.0, head["about"], seed, [], {}, head)]
+        self._faults = 0
         self._tags: dict[tuple[str, int], Callable[[Response], None]] = {}
         self._tag = 0
         self._looked = 0
@@ -575,14 +584,26 @@
             if held.may_act(other.clock.now_us()):
                 raise BrokenError("overlap", f"{other.name} and {holder.name} both may act on {holder.lease}")
 
-    def act(self, lease: str, token: int) -> None:
+    @property
+    def now_s(self) -> float:
+        """True time, as histories have it."""
+        return self.world.now_us / SECOND
+
+    def act(self, holder: str, lease: str, token: int) -> None:
         """An act comes to the fenced resource."""
-        if self.fences[lease].admits(token):
-            self.acts[lease].append(token)
-            if len(self.acts[lease]) > 1 and token < self.acts[lease][-2]:
-                raise BrokenError("fence", f"{lease} took {token} after {self.acts[lease][-2]}")
-        else:
-            self.counts["fenced off"] += 1
+        admitted = self.fences[lease].admits(token)
+        self.counts["fenced off"] += not admitted
+        self.history.append(records.Acted(self.now_s, "fenced", lease, holder, token, admitted))
+
+    def met(self, kind: Kind, on: list[str], for_us: int, note: str, to: list[str] | None = None) -> None:
+        """A fault begins, and ends after so long; both stand in the history."""
+        number, self._faults = self._faults, self._faults + 1
+
+        def say(phase: str) -> None:
+            self.history.append(records.Fault(self.now_s, number, kind, phase, on, note, to or []))
+
+        say("begin")
+        self.world.after(for_us, lambda: say("end"))
 
     def look(self) -> None:
         """Rules on all members together."""
@@ -642,8 +663,11 @@
 
     def _crash_some(self, names: list[str], random: Random) -> None:
         for name in names:
-            self.nodes[name].crash(machine=random.random() < 0.7)
-            self.world.after(random.randint(20_000, 2 * SECOND), self.nodes[name].start)
+            machine = random.random() < 0.7
+            self.nodes[name].crash(machine)
+            for_us = random.randint(20_000, 2 * SECOND)
+            self.met("kill", [name], for_us, "with its machine" if machine else "the process alone")
+            self.world.after(for_us, self.nodes[name].start)
 
     def _cut(self, random: Random) -> None:
         """One direction or both, between one member and some of all the others."""
@@ -655,8 +679,9 @@
             if other != name:
                 ways |= {(name, other)} | ({(other, name)} if both else set())
         self.network.cut |= ways
-
-        self.world.after(random.randint(SECOND // 10, 3 * SECOND), partial(self._heal, ways))
+        for_us = random.randint(SECOND // 10, 3 * SECOND)
+        self.met("cut", [name], for_us, "both ways" if both else "one way", sorted(set(some) - {name}))
+        self.world.after(for_us, partial(self._heal, ways))
 
     def _leader_alone(self, random: Random) -> None:
         """The leader is cut from the other members and not from clients, now and then in one direction."""
@@ -666,7 +691,9 @@
             if random.random() < 0.7:
                 ways |= {(other, name) for _, other in ways}
             self.network.cut |= ways
-            self.world.after(random.randint(SECOND // 10, 2 * SECOND), partial(self._heal, ways))
+            for_us = random.randint(SECOND // 10, 2 * SECOND)
+            self.met("cut", [name], for_us, "a leader from the members")
+            self.world.after(for_us, partial(self._heal, ways))
 
     def _heal(self, ways: set[tuple[str, str]]) -> None:
         self.network.cut -= ways
@@ -678,18 +705,24 @@
         def heal() -> None:
             node.slow_disk_us = 0
 
-        self.world.after(random.randint(SECOND // 2, 3 * SECOND), heal)
+        for_us = random.randint(SECOND // 2, 3 * SECOND)
+        self.met("slow", [node.name], for_us, "its disk")
+        self.world.after(for_us, heal)
 
     def _stall(self, random: Random) -> None:
         """A member, most often the leader, stands still and goes on where it was."""
         leaders = [node for node in self.nodes.values() if node.member and node.member.raft.leading]
         node = random.choice(leaders or list(self.nodes.values()))
-        node.stalled_until_us = self.world.now_us + random.randint(SECOND // 10, SECOND)
+        for_us = random.randint(SECOND // 10, SECOND)
+        node.stalled_until_us = self.world.now_us + for_us
+        self.met("pause", [node.name], for_us, "a member")
 
     def _pause(self, random: Random) -> None:
         """A holder stands still, longer than its lease."""
         holder = random.choice(self.holders)
-        holder.paused_until_us = self.world.now_us + random.randint(SECOND // 10, 2 * SECOND)
+        for_us = random.randint(SECOND // 10, 2 * SECOND)
+        holder.paused_until_us = self.world.now_us + for_us
+        self.met("pause", [holder.name], for_us, "a holder")
 
     def _old_copy(self, random: Random) -> None:
         """One member's folder is put back from a copy that was made a while ago."""
@@ -716,7 +749,9 @@
             node.disk.durable, node.written = copy, written
             self.counts["old copies"] += 1
             self._calm_until_us = self.world.now_us + CALM_US
-            self.world.after(random.randint(1_000, CALM_US // 2), node.start)
+            for_us = random.randint(1_000, CALM_US // 2)
+            self.met("kill", [node.name], for_us, "and its folder put back from a copy")
+            self.world.after(for_us, node.start)
 
         self.world.after(random.randint(SECOND // 2, 3 * SECOND), lambda: put_back(20))
 
@@ -725,7 +760,9 @@
         some = list(self.names) if random.random() < 0.4 else [random.choice(self.names)]
         for node in (self.nodes[name] for name in some):
             node.fill(True)
-            self.world.after(random.randint(SECOND // 2, 3 * SECOND), partial(node.fill, False))
+            for_us = random.randint(SECOND // 2, 3 * SECOND)
+            self.met("limit", [node.name], for_us, "its disk is full")
+            self.world.after(for_us, partial(node.fill, False))
 
     def _snapshot(self, random: Random) -> None:
         self.nodes[random.choice(self.names)].do(lambda member, _: member.compact())
@@ -736,7 +773,9 @@
 
     def _storm(self, random: Random) -> None:
         self.network.weather = Weather(0.2, 0.2, 0.3)
-        self.world.after(random.randint(SECOND // 2, 2 * SECOND), self._calm)
+        for_us = random.randint(SECOND // 2, 2 * SECOND)
+        self.met("datagrams", list(self.names), for_us, "lost, doubled and late")
+        self.world.after(for_us, self._calm)
 
     def _calm(self) -> None:
         self.network.weather = Weather(self.plan.lost, self.plan.doubled, self.plan.late)
@@ -776,6 +815,8 @@
         self._plan_faults()
         self.world.run(self.plan.seconds * SECOND)
         self._settle()
+        for finding in one_actor(Run(self.history)):
+            raise BrokenError("fence", finding.text)
         for key, operations in self.books.operations.items():
             if not linearizable(operations, (self._first[key], b"0"), step_record):
                 raise BrokenError("linear", f"no order explains what was seen of {key}")
@@ -886,3 +927,14 @@
             if stop:
                 break
     return campaign
+
+
+def kept(seed: int, path: Path, parts: Parts | None = None) -> str:
+    """Play one schedule and keep its history as the lab writes them; what broke, or nothing."""
+    sim, broken = QuorumSim(seed, plan_of(seed), parts), ""
+    try:
+        sim.run()
+    except BrokenError as error:
+        broken = str(error)
+    path.write_bytes(b"".join(records.line_of(record) for record in sim.history))
+    return broken
--- a/tests/quorum/test_sim.py
+++ b/tests/quorum/test_sim.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from pathlib import Path
+from typing import get_args
 
 import pytest
 
+from fleetlab.checks import Run, one_actor
+from fleetlab.scenario import Kind
 from fleetlab.sim.linear import FOREVER, Operation, linearizable
-from fleetlab.sim.quorum import (
-    Campaign,
-    Parts,
-    QuorumSim,
-    campaign,
-    plan_of,
-    played,
-    step_record,
-)
+from fleetlab.sim.quorum import Campaign, Parts, QuorumSim, campaign, kept, plan_of, played, step_record
 from mallowquorum.machine import Done, Put, Refused
 from mallowquorum.member import Read, Told
+from standins import records
 from tests.quorum.bugs import BUGS
 
 SCHEDULES = range(400)
@@ -81,6 +78,18 @@
     assert QuorumSim(7, plan_of(7)).run() == QuorumSim(7, plan_of(7), Parts()).run()
 
 
+def test_a_schedules_history_is_one_of_the_labs(tmp_path: Path) -> None:
+    """With the lab's words for faults, each with its end; its checker finds what the fence let in."""
+    for seed in range(4):
+        assert kept(seed, tmp_path / "good") == ""
+        run = Run(records.read(tmp_path / "good"))
+        assert {fault.kind for fault in run.faults} <= set(get_args(Kind))
+        assert run.acts
+        assert one_actor(run) == []
+    assert kept(0, tmp_path / "bad", BUGS["no fence"].parts).startswith("fence")
+    assert one_actor(Run(records.read(tmp_path / "bad"))) != []
+
+
 def put(called: int, ended: int, version: int, value: bytes, answer: object) -> Operation:
     """A write."""
     return Operation(called, ended, Put(1, 1, "a", version, value), answer)
