Let dates step with the wall clock in the lab's stepped programs

Cause: the new test asks that the members' logs show several hours, and they showed one: their time stamps come from datetime, which the stepped clock did not reach. Ruled out: the step itself (time.time moved). Change: datetime.now follows the stepped clock too.

--- a/fleetlab/stepped.py
+++ b/fleetlab/stepped.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import datetime
 import runpy
 import sys
 import time
@@ -28,7 +29,16 @@
     def nanoseconds() -> int:
         return _wall_ns() + int(offset_s() * 1e9)
 
+    class Stepped(datetime.datetime):
+        """Dates by the same clock."""
+
+        @classmethod
+        def now(cls, tz: datetime.tzinfo | None = None) -> Stepped:
+            """As it shows now."""
+            return cls.fromtimestamp(seconds(), tz)
+
     time.time, time.time_ns = seconds, nanoseconds
+    vars(datetime)["datetime"] = Stepped
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
 
