Share the fleet services' command line and the reading of their options

Need: the sweeper had written again what the quorum had: exit codes, the first word that stands for run, the end by a signal, and the reading of a TOML file with its one-line errors. Change: mallowquorum.commands.play and ended_by_signal, mallowquorum.config.read and check_address serve both. A sweeper's bad operators address now names its key, as all others did.

--- a/mallowquorum/__main__.py
+++ b/mallowquorum/__main__.py
@@ -15,6 +15,7 @@
 
 from mallowquorum import wire
 from mallowquorum.client import QuorumError, call, leader_of, order, status
+from mallowquorum.commands import ended_by_signal, play
 from mallowquorum.config import Address, ConfigError, address_of, load
 from mallowquorum.logs import log_lines
 from mallowquorum.machine import restored
@@ -29,10 +30,7 @@
 
 async def serve(path: Path) -> None:
     """Run a member until SIGTERM or SIGINT; SIGHUP reads the members' addresses again."""
-    over = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, over.set)
+    over = ended_by_signal()
     server = Server(load(path))
 
     def reload() -> None:
@@ -41,7 +39,7 @@
         except ConfigError as error:
             structlog.get_logger("mallowquorum").error("not read again", why=str(error))
 
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     await server.start()
     await over.wait()
     await server.stop()
@@ -166,24 +164,7 @@
 
 def main() -> int:
     """Run; 2 and one line where something cannot be used, 1 where a quorum does not do what was asked."""
-    arguments = sys.argv[1:]
-    known = {item.name or getattr(item.callback, "__name__", "") for item in app.registered_commands}
-    if arguments and arguments[0] not in known and not arguments[0].startswith("-"):
-        arguments = ["run", *arguments]
-    try:
-        return int(app(arguments, standalone_mode=False) or 0)
-    except typer.Exit as end:
-        return end.exit_code
-    except QuorumError as error:
-        print(f"mallowquorum: {error}", file=sys.stderr)
-        return 1
-    except (ConfigError, StoreError, OSError) as error:
-        print(f"mallowquorum: {error}", file=sys.stderr)
-    except Exception as error:
-        if not hasattr(error, "format_message"):
-            raise
-        print(f"mallowquorum: {error.format_message()}", file=sys.stderr)
-    return 2
+    return play(app, "mallowquorum", (ConfigError, StoreError, OSError))
 
 
 if __name__ == "__main__":
--- a/mallowquorum/config.py
+++ b/mallowquorum/config.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
 Address = tuple[str, int]
+T = TypeVar("T")
 MOST_MEMBERS, MOST_RESERVE_KB = 9, 1024 * 1024
 
 
@@ -79,24 +82,32 @@
         raise ConfigError("times: 2 * heartbeat_ms <= least_election_ms < most_election_ms does not hold")
     addresses = [("listen", config.listen), *(("members", item) for item in config.members.values())]
     for key, text in [*addresses, *([("operators", config.operators)] if config.operators else [])]:
-        try:
-            address_of(text)
-        except ConfigError as error:
-            raise ConfigError(f"{key}: {error}") from None
+        check_address(key, text)
 
 
-def load(path: Path) -> Config:
-    """A configuration file; ``ConfigError`` names file and key."""
+def check_address(key: str, text: str) -> None:
+    """``ConfigError`` with the key where a text is no address."""
+    try:
+        address_of(text)
+    except ConfigError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def read(path: Path, kind: type[T], check: Callable[[T], None]) -> T:
+    """A TOML file of a service's options; ``ConfigError`` names file and key."""
     try:
-        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
+        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), kind)
         check(config)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    except tomllib.TOMLDecodeError as error:
-        raise ConfigError(f"{path}: {error}") from None
     except msgspec.ValidationError as error:
         reason, _, key = str(error).partition(" - at `$.")
         raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
-    except ConfigError as error:
+    except (tomllib.TOMLDecodeError, ConfigError) as error:
         raise ConfigError(f"{path}: {error}") from None
     return config
+
+
+def load(path: Path) -> Config:
+    """A member's configuration file; ``ConfigError`` names file and key."""
+    return read(path, Config, check)
--- a/mallowsweep/__main__.py
+++ b/mallowsweep/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -11,7 +10,8 @@
 import msgspec
 import typer
 
-from mallowquorum.client import Client, QuorumError
+from mallowquorum.client import Client
+from mallowquorum.commands import ended_by_signal, play
 from mallowquorum.config import ConfigError
 from mallowquorum.logs import log_lines
 from mallowsweep.config import Config, load
@@ -22,10 +22,7 @@
 
 async def serve(config: Config) -> None:
     """Sweep until SIGTERM or SIGINT; then the lease is given back."""
-    over = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, over.set)
-    await Sweeper(config).run(over)
+    await Sweeper(config).run(ended_by_signal())
 
 
 @app.command()
@@ -52,24 +49,8 @@
 
 
 def main() -> int:
-    """Run; 2 and one line where something cannot be used, 1 where the quorum does not answer."""
-    arguments = sys.argv[1:]
-    if arguments and arguments[0] not in ("run", "summary") and not arguments[0].startswith("-"):
-        arguments = ["run", *arguments]
-    try:
-        return int(app(arguments, standalone_mode=False) or 0)
-    except typer.Exit as end:
-        return end.exit_code
-    except QuorumError as error:
-        print(f"mallowsweep: {error}", file=sys.stderr)
-        return 1
-    except (ConfigError, OSError) as error:
-        print(f"mallowsweep: {error}", file=sys.stderr)
-    except Exception as error:
-        if not hasattr(error, "format_message"):
-            raise
-        print(f"mallowsweep: {error.format_message()}", file=sys.stderr)
-    return 2
+    """Run; 2 and one line where something cannot be used, 1 where a quorum does not do what was asked."""
+    return play(app, "mallowsweep", (ConfigError, OSError))
 
 
 if __name__ == "__main__":
--- a/mallowsweep/config.py
+++ b/mallowsweep/config.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 
-from mallowquorum.config import Address, ConfigError, address_of
+from mallowquorum.config import Address, ConfigError, address_of, check_address, read
 from mallowquorum.machine import LEAST_TTL_MS, MOST_TTL_MS
 from mallowsweep.summary import MOST_NAME, MOST_RELAYS
 
@@ -50,24 +49,11 @@
             raise ConfigError(f"{key}: {value} is not from 1 to 600000")
     for key, some in (("members", config.members), ("relays", config.relays)):
         for name, text in some.items():
-            try:
-                address_of(text)
-            except ConfigError as error:
-                raise ConfigError(f"{key}.{name}: {error}") from None
+            check_address(f"{key}.{name}", text)
     if config.operators:
-        address_of(config.operators)
+        check_address("operators", config.operators)
 
 
 def load(path: Path) -> Config:
-    """A configuration file; ``ConfigError`` names file and key."""
-    try:
-        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
-        check(config)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except msgspec.ValidationError as error:
-        reason, _, key = str(error).partition(" - at `$.")
-        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
-    except (tomllib.TOMLDecodeError, ConfigError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    return config
+    """A sweeper's configuration file; ``ConfigError`` names file and key."""
+    return read(path, Config, check)
