Do once what the quorum's shells and the task runner did twice

Need: two clocks by the same line, three ways of waiting unless the end comes, and a full disk told on two paths. Change: mallowquorum.monotonic.now_us; one _unless, which _covered and the pauses of the runner use; the first refusal of a disk is told before the reserve is looked at.

--- a/fleetlab/crowd.py
+++ b/fleetlab/crowd.py
@@ -18,9 +18,10 @@
 from hdrh.histogram import HdrHistogram
 
 from fleetlab.program import PORT, main
-from mallowquorum.client import Client, QuorumError, now_us
+from mallowquorum.client import Client, QuorumError
 from mallowquorum.config import address_of
 from mallowquorum.machine import Done
+from mallowquorum.monotonic import now_us
 
 FIGURES = "figures"
 ASK_S = 5.0
--- a/mallowquorum/client.py
+++ b/mallowquorum/client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
@@ -29,6 +28,7 @@
     Renew,
 )
 from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
+from mallowquorum.monotonic import now_us
 from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
 
 TRY_S, MOST_TRY_S = 0.5, 4.0  # s for a first try, beside what the request itself may wait, and for later ones
@@ -44,11 +44,6 @@
     """The session is over: what it held is not held any more."""
 
 
-def now_us() -> int:
-    """The monotonic clock."""
-    return time.monotonic_ns() // 1000
-
-
 @dataclass(frozen=True, slots=True)
 class Got:
     """An answer, and from when on what it brings may be counted."""
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine
 from contextlib import suppress
 from pathlib import Path
@@ -25,6 +24,7 @@
 from mallowquorum.machine import Done, Refused
 from mallowquorum.member import Elsewhere, Member, Out, Reply, Request, Shunned, Together
 from mallowquorum.messages import Message, Persist, Send
+from mallowquorum.monotonic import now_us
 from mallowquorum.raft import Role, Timing
 from mallowquorum.store import FULL, Store
 from mallowquorum.wire import (
@@ -47,11 +47,6 @@
 STILL_S = 30.0  # s without a frame after which a client's connection is closed
 
 
-def now_us() -> int:
-    """The monotonic clock."""
-    return time.monotonic_ns() // 1000
-
-
 class Peer:
     """The way to another member: a connection that is made again whenever it ends, and a bounded queue."""
 
@@ -287,15 +282,13 @@
 
     async def _refused(self, error: OSError) -> None:
         """The disk refuses: first the reserve goes, then the log is made as small as it can be."""
-        if not self._disk:
-            LOG.error("the disk refuses", why=error.strerror)
         first, self._disk = not self._disk, error.strerror or "refused"
         self._reserve_us = now_us() + DISK_AGAIN_US
-        if error.errno in FULL and self._store.give_up_reserve():
-            self._did(self._member.disk(now_us(), True))
-            return
         if first:
+            LOG.error("the disk refuses", why=error.strerror)
             self._did(self._member.disk(now_us(), True))
+        if error.errno in FULL and self._store.give_up_reserve():
+            return
         self._did(self._member.compact())
         await asyncio.sleep(DISK_AGAIN_US / 1e6)
 
--- a/mallowquorum/tasks.py
+++ b/mallowquorum/tasks.py
@@ -9,17 +9,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol, TypeVar
 
 import structlog
 
-from mallowquorum.client import Client, Keeper, QuorumError, now_us
+from mallowquorum.client import Client, Keeper, QuorumError
 from mallowquorum.config import Address
 from mallowquorum.holder import Bounds
 from mallowquorum.machine import Done
+from mallowquorum.monotonic import now_us
 
 LOG = structlog.get_logger("mallowquorum.tasks")
 ASK_S = 5.0  # s for an answer of the quorum, before it is tried anew with another session
@@ -89,7 +90,7 @@
                 pause_s = AGAIN_S[0]
             except QuorumError as error:
                 LOG.warning("no quorum", task=self._terms.name, why=str(error))
-                await self._idle(over, pause_s * self._random.uniform(0.5, 1.5))
+                await self._unless(over, asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5)))
                 pause_s = min(2 * pause_s, AGAIN_S[1])
         for client in (self._leases, self._records):
             try:
@@ -150,35 +151,25 @@
 
     async def _covered(self, keeper: Keeper, over: asyncio.Event, work: Coroutine[Any, Any, T]) -> T | None:
         """Do something while the lease lasts; None where it was cut off, in time before the end."""
+
+        def left_s() -> float:
+            return (keeper.holding.stop_us - now_us()) / 1e6 if keeper.may_act() else 0.0
+
+        return await self._unless(over, work, left_s)
+
+    @staticmethod
+    async def _unless(
+        over: asyncio.Event, work: Coroutine[Any, Any, T], left_s: Callable[[], float | None] = lambda: None
+    ) -> T | None:
+        """Do something unless the end comes before, or no time is left; then None. ``left_s`` may grow."""
         doing, ended = asyncio.ensure_future(work), asyncio.ensure_future(over.wait())
         try:
-            while True:
-                left_s = (keeper.holding.stop_us - now_us()) / 1e6
-                if left_s <= 0 or not keeper.may_act() or ended.done():
-                    return None
-                await asyncio.wait({doing, ended}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+            while not over.is_set() and ((time_s := left_s()) is None or time_s > 0):
+                await asyncio.wait({doing, ended}, timeout=time_s, return_when=asyncio.FIRST_COMPLETED)
                 if doing.done():
                     return doing.result()
+            return None
         finally:
             for task in (doing, ended):
                 task.cancel()
             await asyncio.gather(doing, ended, return_exceptions=True)
-
-    async def _unless(self, over: asyncio.Event, work: Coroutine[Any, Any, bool]) -> bool:
-        """Wait for something unless the end comes before."""
-        doing, ended = asyncio.ensure_future(work), asyncio.ensure_future(over.wait())
-        try:
-            await asyncio.wait({doing, ended}, return_when=asyncio.FIRST_COMPLETED)
-            return doing.done() and doing.result()
-        finally:
-            for task in (doing, ended):
-                task.cancel()
-            await asyncio.gather(doing, ended, return_exceptions=True)
-
-    @staticmethod
-    async def _idle(over: asyncio.Event, pause_s: float) -> None:
-        try:
-            async with asyncio.timeout(pause_s):
-                await over.wait()
-        except TimeoutError:
-            pass
--- a/tests/quorum/test_server.py
+++ b/tests/quorum/test_server.py
@@ -17,7 +17,7 @@
 from mallowquorum.client import Client, Keeper, QuorumError, call, order
 from mallowquorum.machine import MOST_VALUE, RESTORED_TOKENS, Done, Refused
 from mallowquorum.member import NoRoom
-from mallowquorum.server import now_us
+from mallowquorum.monotonic import now_us
 from mallowquorum.store import Store, StoreError
 from mallowquorum.wire import FRAME_S, MOST_ASKED, SIZE, VERSION, Hello, frame
 from standins.scripted import ROOT
--- a/tests/quorum/test_tasks.py
+++ b/tests/quorum/test_tasks.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from mallowquorum.client import now_us
 from mallowquorum.config import ConfigError
 from mallowquorum.machine import MOST_VALUE
+from mallowquorum.monotonic import now_us
 from mallowquorum.tasks import MOST_ERRORS, Runner, Step, Terms
 from mallowsweep import summary
 from mallowsweep.config import load
