End a call for several when the first of its messages is out of time

The relay ended the first messages by notices and yet left their call out for the sake of the others, and took what the call was answered afterwards for the others' end. A message that is told as ended while its call is out may run beside the copy that the client hands in again; the protocol knows one way to give up a call: to end its connection.

At fault: Hosts._late and _stop, which settled one part at its message's time and let the call go on.

Change: a call is waited for no longer than the time of the first message in it; then it is given up whole, its connection is closed, and X-Remaining says so. Whether it has run is judged by the call's last byte for all alike.

Tests: both new ones fail without the change.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -109,9 +109,14 @@
 Settled = Callable[[Call, Part, Told], None]
 
 
+def wait_us_of(parts: list[Part]) -> int:
+    """How long a call with these is waited for: to the longest limit, but past no message's time."""
+    return min(max(part.limit_us for part in parts), *(part.left_us for part in parts))
+
+
 def request_of(connection: Connection, parts: list[Part]) -> bytes:
     """The request for one message, or for several that share a call."""
-    left = ("X-Remaining", f"{max(1, max(part.limit_us for part in parts) // 1000)}m")
+    left = ("X-Remaining", f"{max(1, wait_us_of(parts) // 1000)}m")
     if len(parts) == 1:
         headers: Headers = [("X-Txn", parts[0].id), left]
         if parts[0].key:
@@ -297,7 +302,7 @@
         for part in call.open:
             if part.overdue:
                 until_s = since_s + max(part.limit_us, part.left_us) / 1e6
-                part.timer = loop.call_at(until_s, self._stop, call, part, Verdict.TIMEOUT)
+                part.timer = loop.call_at(until_s, self._give_up, call)
             else:
                 part.timer = loop.call_at(since_s + part.limit_us / 1e6, self._late, call, part)
         call.task = loop.create_task(self._run(call, exchange))
@@ -377,24 +382,28 @@
     def _late(self, call: Call, part: Part) -> None:
         """A part's limit has passed: it ends with the call, or before while nothing of that is written.
 
-        While the call is out for the sake of others the message is out too, and told as timed out it would
-        be sent again beside itself. Once the message's own time is up nobody does that any more.
+        While the call is out for the sake of others the message is out too: told as timed out it would be
+        sent again beside itself, and ended it would still run. Once its own time is up the call ends.
         """
         part.overdue = True
         if call.connection is None or not call.connection.begun:
             self._stop(call, part, Verdict.TIMEOUT)
         elif all(other.overdue for other in call.open):
-            for other in call.open:
-                self._stop(call, other, Verdict.TIMEOUT)
+            self._give_up(call)
         else:
             more_s = max(0, part.left_us - part.limit_us) / 1e6
-            part.timer = self._loop.call_later(more_s, self._stop, call, part, Verdict.TIMEOUT)
+            part.timer = self._loop.call_later(more_s, self._give_up, call)
+
+    def _give_up(self, call: Call) -> None:
+        """Wait for the call no longer: it is over for all that it carries, and its connection is closed."""
+        for part in call.open:
+            self._stop(call, part, Verdict.TIMEOUT, whole=True)
 
-    def _stop(self, call: Call, part: Part, verdict: Verdict) -> None:
-        """End one part before its answer; with the last one the connection is closed."""
+    def _stop(self, call: Call, part: Part, verdict: Verdict, whole: bool = False) -> None:
+        """End one part before its answer; with the last one, or all at once, the connection is closed."""
         if part.settled:
             return
-        last = len(call.open) == 1
+        last = whole or len(call.open) == 1
         begun = call.connection is not None and call.connection.begun
         ran = call.written if last else begun  # others' bytes that follow may complete the call
         if call.delivered:  # its first line came, the rest did not
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -265,19 +265,35 @@
     host.stop()
 
 
-async def test_a_message_whose_time_is_up_is_told_although_its_call_is_out() -> None:
-    """Nobody sends it again by then, and its end is owed."""
+async def test_a_message_whose_time_is_up_ends_the_call_that_carries_it() -> None:
+    """Told alone it got its end while it was still out, and what the others were answered then was lost."""
     host = await serving(silent)
     calls = Calls(host.port)
-    call = calls.send("m1", "m2")
-    await host.call(0)
-    call.parts[0].left_us = call.parts[0].limit_us
-    calls.hosts._late(call, call.parts[0])
+    parts = [Part("m1", 0, "", b"x", 300_000, 300_000), Part("m2", 0, "", b"x", 20_000_000, 60_000_000)]
+    calls.hosts.send(Call("h1", parts, time.monotonic()))
+    request = await host.call(0)
+    assert request.headers["x-remaining"] == "300m", "the call is waited for no longer than that"
     assert await calls.outcome("m1") == Told(Verdict.TIMEOUT)
-    assert "m2" not in calls.told
+    assert calls.told == {ref: Told(Verdict.TIMEOUT) for ref in ("m1", "m2")}
+    while host.writers:
+        await asyncio.sleep(0.01)
+    assert not calls.hosts.calls
     host.stop()
 
 
+async def test_a_call_given_up_before_its_last_byte_never_ran_for_any_of_its_messages() -> None:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(1)
+        calls = Calls(sock.getsockname()[1])
+        parts = [Part("m1", 0, "", bytes(16 << 20), 200_000, 200_000)]
+        parts += [Part("m2", 0, "", b"x", 20_000_000, 60_000_000)]
+        calls.hosts.send(Call("h1", parts, time.monotonic()))
+        for ref in ("m1", "m2"):
+            assert await calls.outcome(ref) == Told(Verdict.CONNECT_FAILED)
+
+
 async def test_idle_connections_are_closed_on_demand_and_by_age() -> None:
     host = await serving()
     calls = Calls(host.port)
