--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -385,6 +385,25 @@
     return found
 
 
+def none_out_past_end(run: Run) -> list[Finding]:
+    """A message that its relay has ended by a notice is not out any more: handed in again it would be twice.
+
+    A notice and the end of a connection take ways of their own. What a fault may have held up on one of them
+    is passed over, and so is what the relay had out in an earlier life.
+    """
+    found = []
+    for ref, story in run.stories.items():
+        for notice in story.notices[:1]:
+            for attempt in story.attempts:
+                past_s = min(attempt.over, run.over) - notice.t
+                if attempt.came > notice.t or past_s <= TOLD_S or attempt.relay != notice.relay:
+                    continue
+                if not disturbed(run, notice.relay, attempt.came, notice.t + TOLD_S):
+                    past = f"{past_s * 1000:.0f} ms after {notice.relay} ended it"
+                    found.append(Finding(notice.t, f"{ref} was out at {attempt.host} until {past}"))
+    return found
+
+
 def few_attempts(run: Run) -> list[Finding]:
     """A message is called for no more often than the settings allow."""
     most = run.scenario.most_tries
@@ -618,6 +637,7 @@
     "ended_once": ended_once,
     "in_time": in_time,
     "one_out": one_out,
+    "none_out_past_end": none_out_past_end,
     "few_attempts": few_attempts,
     "no_repeat": no_repeat,
     "effect_once": effect_once,
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -241,3 +241,15 @@
 on = ["peer1"]
 to = ["peer0"]
 """
+
+
+def test_no_message_is_out_past_its_end_while_endpoints_hang_and_relays_end(tmp_path: Path) -> None:
+    """Calls for several hang past the time of some, also of relays that end or are killed just then."""
+    names = ("hang-shared", "ending-hang")
+    labs = [started(scenario.FOLDER / f"{name}.toml", tmp_path / name) for name in names]
+    for name, lab in zip(names, labs, strict=True):
+        printed, errors = lab.communicate(timeout=120)
+        assert lab.returncode == 0, (name, errors, json.loads(printed)["checks"])
+        run = Run(records.read(tmp_path / name / "history.jsonl"))
+        hung = [call for call in run.attempts if call.over - call.came > 1.0]
+        assert hung, "the endpoints did hang"
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -135,6 +135,16 @@
     some.insert(at + 1, changed(call, conn="r0:1"))
 
 
+def end_while_out(some: list[records.AnyRecord]) -> None:
+    at = next(at for at, item in enumerate(some) if isinstance(item, records.Call) and item.t > 0.5)
+    call = some[at]
+    assert isinstance(call, records.Call)
+    replies = [at for at, item in enumerate(some) if isinstance(item, records.Reply)]
+    gone = next(at for at in replies if changed(some[at]).conn == call.conn and some[at].t > call.t)
+    some[gone] = changed(some[gone], t=call.t + 0.2)
+    some.insert(at + 1, records.Noticed(call.t + 0.1, call.relay, call.refs[0], "bounced"))
+
+
 def send_astray(some: list[records.AnyRecord]) -> None:
     at = next(at for at, item in enumerate(some) if isinstance(item, records.Call))
     call = some[at]
@@ -188,7 +198,8 @@
 SPOILT: dict[str, Callable[[list[records.AnyRecord]], None]] = {
     "one_actor": act_late,
     "ended_once": lose, "in_time": end_late, "no_repeat": repeat, "effect_once": run_twice,
-    "one_out": overlap, "own_destination": send_astray, "waits_kept": hurry, "cold_spared": push_over,
+    "one_out": overlap, "none_out_past_end": end_while_out,
+    "own_destination": send_astray, "waits_kept": hurry, "cold_spared": push_over,
     "no_crash": crash, "answered": leave_unanswered, "drained": drain_early, "few_attempts": call_often,
 }  # fmt: skip
 
