Let a relay know 1,024 endpoints that left, and keep as many waits and callers

MOST_GONE was 64: of some hundreds of endpoints that left at once and came back all but 64 were taken for new and cold ones.

Change: MOST_GONE and MOST_WAITS (256) are 1,024, and so are the backlogs of listening sockets (512 and 256). What was looked through and stays: lines of a watch (1 MiB; 1,024 entries with long names take 206 KB), 4,096 names that operators may use, 4,096 ids, sessions, leases and records of a quorum, 2,048 of its clients, 4,096 members, descriptors that a handover passes (any number, 200 a message), a quorum's own members (9) and folders that they shun (64).

Tests: a list of 1,024 comes by file, by watch and by a handover to another process; they leave and come back; 1,024 calls, waits and bans; what is beyond a bound goes in order of age.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -35,7 +35,7 @@
 OVER, DELIVERED = 410, 200
 SHORT_US = 250_000  # us that a message is held back for where this process has no descriptor left
 MOST_EVER = 4096  # hosts that are remembered, so that operators may name one that left
-MOST_WAITS = 256  # routes with a wait, above which those that are over are dropped
+MOST_WAITS = 1024  # routes with a wait, above which those that are over are dropped
 
 
 @dataclass(slots=True, eq=False)
--- a/mallowlug/listen.py
+++ b/mallowlug/listen.py
@@ -12,7 +12,7 @@
 from mallowlug.http import SHORT, Address
 
 LOG = logging.getLogger(__name__)
-BACKLOG = 512
+BACKLOG = 1024
 A_TURN = 64  # connections accepted in one turn of the loop, so that what is there already is served between
 REST_S = 0.1  # s without accepting once no descriptor is left
 LOOK_S = 0.05  # s between looks whether an address is free
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -42,6 +42,7 @@
 LOG = structlog.get_logger("mallowquorum")
 MOST_QUEUED = 512  # messages to a member that does not take them; the oldest goes, as any may be lost
 MOST_CLIENTS = 2048
+BACKLOG = 1024  # connections that wait to be accepted: a whole fleet may come at once
 AGAIN_S = (0.05, 1.0)  # s before a connection to a member is tried again: at first, and at most
 DISK_AGAIN_US = 500_000  # before a write that the disk refused is tried again
 STILL_S = 30.0  # s without a frame after which a client's connection is closed
@@ -164,7 +165,9 @@
 
     async def start(self) -> None:
         """Listen, reach for the others, and take part; ``OSError`` where an address cannot be had."""
-        self._server = await asyncio.start_server(self._connected, *self._config.listen_address, backlog=256)
+        self._server = await asyncio.start_server(
+            self._connected, *self._config.listen_address, backlog=BACKLOG
+        )
         if self._config.operators:
             await self._pages.start(*address_of(self._config.operators))
         self._meet(self._config)
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -51,7 +51,7 @@
 LOWERED = 0.75  # a told rate under so much of the last one is a lowered limit, and no noise
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 STATUS_US = 5_000_000  # us between log lines on destinations that hold messages
-MOST_GONE = 64  # endpoints that left the list and are still known
+MOST_GONE = 1024  # endpoints that left the list and are still known
 RISKS = {effect: float(number) for number, effect in enumerate(Effect)}  # the less a repeat does, the sooner
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+BACKLOG = 1024  # connections that wait to be accepted
 MOST_HEAD, MOST_BODY = 16 * 1024, 512 * 1024  # bytes of a request
 REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 413: "Too Large"}
 
@@ -90,7 +91,7 @@
     async def start(self) -> None:
         """Listen, on the same port as before where there was one."""
         self._server = await asyncio.start_server(
-            self._connected, self.host, self.port, backlog=256, limit=MOST_HEAD
+            self._connected, self.host, self.port, backlog=BACKLOG, limit=MOST_HEAD
         )
         self.port = int(self._server.sockets[0].getsockname()[1])
 
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,106 @@
+"""A relay among 1,024 others, with 1,024 endpoints on its list: what one line, file and table has to hold."""
+
+from __future__ import annotations
+
+import pickle
+import time
+from pathlib import Path
+from typing import Any
+
+from mallowlug.discovery import HostList, Listed
+from mallowlug.journal import Journal
+from mossfront import interface as api
+from mossfront.brain import MOST_GONE, Relay
+from standins.scripted import World
+from tests.support import KEYED, SECOND, arrival, ended, entry, roster, sends, settings
+from tests.test_handover import upgraded
+from tests.test_hosts import Calls
+
+MANY = 1024
+
+
+def listed(number: int, dial: str) -> dict[str, Any]:
+    """An endpoint as discovery lists it, with names as long as any."""
+    return {
+        "host": f"s-{number:030x}", "dial": dial, "site": f"zone-{number % 8:020}", "class": "lots",
+        "block": number % 256, "health": "SERVING", "share": 1.0, "born_ms": 1796172000000 + number,
+    }  # fmt: skip
+
+
+async def test_a_list_of_a_thousand_endpoints_comes_in_one_line_and_from_the_file(world: World) -> None:
+    """Known at the start, told by the watch, and taken over: no line, frame or table is too small."""
+    host = await world.add("h1", block=1)
+    dial = f"127.0.0.1:{host.port}"
+    for number in range(MANY):
+        world.directory.hosts[f"s-{number:030x}"] = listed(number, dial)
+    del world.directory.hosts["h1"]
+    world.known = [listed(number, dial) for number in range(MANY // 2)]
+    world.admin_port = world.free_port()
+    world.listen()
+    client = await world.run()
+    assert await client.hand_in("m1") == b"+OK"
+    await host.until(lambda: any("m1" in request.ids for request in host.seen))
+
+    async def known() -> int:
+        status, body = await world.call("GET", "stats")
+        assert status == 200
+        lines = dict(line.rpartition(":")[::2] for line in body.split())
+        return int(lines["app.endpoints_known"].partition("|")[0])
+
+    assert await known() == MANY
+    await upgraded(world)
+    assert await known() == MANY
+    assert await client.hand_in("m2") == b"+OK"
+    await host.until(lambda: any("m2" in request.ids for request in host.seen))
+
+
+def test_a_module_keeps_a_thousand_endpoints_that_left() -> None:
+    """They all leave at once and come back: each is known, so none is taken for a new and cold one."""
+    relay = Relay(settings(group_size=MANY), 1)
+    names = [f"h{number}" for number in range(MANY)]
+    relay.step(0, [roster(*(entry(name, dest=at % 256) for at, name in enumerate(names)))])
+    assert relay.known == MANY <= MOST_GONE
+    before = dict(relay.endpoints)
+    relay.step(6 * SECOND, [roster()])
+    relay.step(12 * SECOND, [api.TimerDue()])
+    relay.step(18 * SECOND, [roster(*(entry(name, dest=at % 256) for at, name in enumerate(names)))])
+    assert relay.endpoints == before
+    beyond = [entry(f"x{number}") for number in range(MOST_GONE)]
+    relay.step(24 * SECOND, [roster(*beyond)])
+    relay.step(30 * SECOND, [roster(entry("last"))])
+    relay.step(36 * SECOND, [api.TimerDue()])
+    assert len(relay.endpoints) == MOST_GONE + 1, "beyond the bound the first that came are forgotten"
+    assert relay.known == 1
+
+
+def test_a_relay_of_a_thousand_calls_a_thousand_endpoints() -> None:
+    """One message for each destination goes out and ends, and the module can go over to another process."""
+    relay = Relay(settings(group_size=MANY, slots=MANY, hold_cap=2 * MANY), 1)
+    events: list[api.Event] = [roster(*(entry(f"h{n}", dest=n) for n in range(MANY)))]
+    events += [arrival(f"m{n}", KEYED, n) for n in range(MANY)]
+    out = sends(relay.step(0, events))
+    assert {send.host for send in out} == {f"h{n}" for n in range(MANY)}
+    other = pickle.loads(pickle.dumps(relay))
+    other.resume()
+    other.step(SECOND, [ended(send) for send in out])
+    assert not other.messages
+
+
+def test_a_thousand_waits_and_bans_are_kept(tmp_path: Path) -> None:
+    """Each route's own, also over a restart where operators want that."""
+    journal = Journal(tmp_path, 3_000_000)
+    for number in range(MANY):
+        journal.ban(f"s-{number:030x}", True)
+    journal.close()
+    again = Journal(tmp_path, 3_000_000)
+    assert len(again.banned) == MANY
+    again.close()
+
+
+async def test_waits_of_a_thousand_routes_stand_side_by_side() -> None:
+    calls = Calls(1)
+    news = tuple(Listed(entry(f"h{n}", n, "banks"), ("127.0.0.1", 1)) for n in range(MANY))
+    calls.hosts.apply(HostList(1, True, news))
+    calls.hosts.heed({f"h{n}": time.monotonic() + 60 for n in range(MANY)})
+    assert all(calls.hosts.wait_left_us(f"h{n}") for n in range(MANY))
+    assert len(calls.hosts.waits) == MANY
