Let the proving ground hold 1,024 relays, and as many further processes

Need: a scenario held 200 processes: their addresses were the last bytes of one net, and all links had one address.

Where the run needs more links than the lab may open sockets for, that is one line before anything starts.

Tests: 1,024 relays and 1,024 further processes have addresses of their own; 1,024 relays with 1,024 endpoints can be written, and what they need is told.

--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import os
-import secrets
+import resource
 import shlex
 import signal
-import socket
 import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -17,8 +16,9 @@
 
 import msgspec
 
+from fleetlab.addresses import CLIENTS, SERVERS, Addresses
 from fleetlab.crowd import FIGURES
-from fleetlab.fleet import Fleet, Limits, Member, deploy_run, peak_memory_mb, python_run
+from fleetlab.fleet import Fleet, FleetError, Limits, Member, deploy_run, peak_memory_mb, python_run
 from fleetlab.links import Address, Condition, TcpLink
 from fleetlab.resource import ACTS, Act
 from fleetlab.scenario import (
@@ -40,14 +40,13 @@
 from standins.platform import Entry, Platform
 from standins.scripted import packed
 
-LINKS, CLIENTS, SERVERS, CLAIM, FIRST_RELAY = 2, 3, 4, 1, 10  # last bytes of the run's addresses
-CLAIM_PORT = 1025  # the lab that holds it owns the run's addresses
 KILL_AFTER_S = 3.7  # s from SIGTERM to SIGKILL, as the protocol's page says
 TICK_S, NOTED_LAG_S = 0.02, 0.03
 MOVED_S = 1.5  # s after which a discovery that has moved closes its open connections, as the terms say
 REST_S = 1.0  # s after the last deadline when a run ends, whatever is still owed
 FLUSH_BYTES = 64 * 1024
-DISTINCT = 65_536  # links in a run, so that each has a seed of its own
+DISTINCT = 65_536  # between the seeds of two runs' links
+SPARE_DESCRIPTORS = 1_024  # of the lab, for what links carry and for its other sockets
 
 
 class LabClock(Clock):
@@ -82,17 +81,12 @@
         self._file.close()
 
 
-def claim() -> tuple[socket.socket, str]:
-    """A part of the loopback network that no other lab uses, and what holds it."""
-    while True:
-        prefix = f"127.{secrets.randbelow(199) + 32}.{secrets.randbelow(256)}"
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            sock.bind((f"{prefix}.{CLAIM}", CLAIM_PORT))
-        except OSError:
-            sock.close()
-            continue
-        return sock, prefix
+def check_descriptors(scenario: Scenario) -> None:
+    """Each link listens: ``FleetError`` where this process may not open as many sockets as the run has."""
+    links = scenario.relays * (2 + len(scenario.hosts))
+    may = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if links + SPARE_DESCRIPTORS > may:
+        raise FleetError(f"{scenario.relays} relays have {links} links; this process may open {may} files")
 
 
 class Lab:
@@ -113,15 +107,13 @@
         """The whole run; ``FleetError`` where the fleet does not come up. No process is left behind."""
         self.out.mkdir(parents=True, exist_ok=True)
         command = deploy_run() if self.scenario.relay == "run" else python_run("fleetlab.plain")
-        hold, self._prefix = claim()
-        self._names = {
-            f"{self._prefix}.{FIRST_RELAY + at}": name for at, name in enumerate(self.scenario.relay_names)
-        }
-        self._addresses = {name: address for address, name in self._names.items()}
-        first = FIRST_RELAY + self.scenario.relays
-        self._others = {
-            name: f"{self._prefix}.{first + at}" for at, name in enumerate(self.scenario.program_names)
-        }
+        check_descriptors(self.scenario)
+        self._places = places = Addresses()
+        names = self.scenario.relay_names
+        self._addresses = {name: places.process(at) for at, name in enumerate(names)}
+        self._names = {address: name for name, address in self._addresses.items()}
+        others = self.scenario.program_names
+        self._others = {name: places.process(len(names) + at) for at, name in enumerate(others)}
         self._clock = LabClock(self._names)
         self.history = History(self.out / "history.jsonl")
         try:
@@ -134,7 +126,7 @@
             for task in list(self._tasks):
                 task.cancel()
             await self._close()
-            hold.close()
+            places.close()
         if self._broken:
             raise self._broken[0]
 
@@ -149,7 +141,7 @@
             host: Endpoint(
                 site,
                 host,
-                address=f"{self._prefix}.{SERVERS}",
+                address=self._places.at(SERVERS),
                 sink=sink,
                 clock=clock,
                 seed=self.seed * 1009 + number,
@@ -188,7 +180,7 @@
 
         told = {} if caller == "clients" else {"gone": ended, "came": opened}
         link = TcpLink(
-            caller, called, target, near=f"{self._prefix}.{LINKS}", source=source,
+            caller, called, target, near=self._places.link(len(self._links)), source=source,
             seed=self.seed * DISTINCT + len(self._links), **told,
         )  # fmt: skip
         self._links[caller, called] = link
@@ -199,8 +191,8 @@
         for endpoint in self.endpoints.values():
             await endpoint.start()
         for name, address in self._addresses.items():
-            agent = await self.platform.agent(name, f"{self._prefix}.{SERVERS}")
-            self._link("clients", name, partial(at, address, CLIENTS_PORT), f"{self._prefix}.{CLIENTS}")
+            agent = await self.platform.agent(name, self._places.at(SERVERS))
+            self._link("clients", name, partial(at, address, CLIENTS_PORT), self._places.at(CLIENTS))
             self._link(name, "platform", agent.listener.where, address).open()
             for host, endpoint in self.endpoints.items():
                 self._link(name, host, endpoint.listener.where, address).open()
@@ -221,7 +213,7 @@
         for program in scenario.program:
             for number, name in enumerate(program.names):
                 self._add_program(program, number, name, limits)
-        self._say(f"starting {scenario.relays} relays at {self._prefix}.*")
+        self._say(f"starting {scenario.relays} relays at {self._places.name} and on")
         members = list(self.fleet.members.values())
         for member in members:
             await self.fleet.start(member)
--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -21,7 +21,7 @@
 
 MOST_QUEUED = 256 * 1024  # bytes that a direction of one connection holds back before it stops reading
 MOST_DATAGRAMS = 4096  # that a direction of a UDP link holds back; more are lost
-BACKLOG = 256
+BACKLOG = 1024
 Address = tuple[str, int]
 Direction = Literal["forward", "back", "both"]
 
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -16,7 +16,7 @@
 
 FOLDER = Path(__file__).resolve().parent / "scenarios"
 CLIENTS_PORT, ADMIN_PORT = 7000, 7001  # at a relay's own address
-MOST_RELAYS, MOST_SECONDS = 200, 900.0
+MOST_RELAYS, MOST_PROCESSES, MOST_SECONDS = 1_024, 2_048, 900.0
 
 # The site's classes and tenants with every time halved, so that a run of half a minute holds whole lives.
 CLASSES = [
@@ -191,8 +191,8 @@
 
 def _check_programs(scenario: Scenario) -> None:
     names = scenario.relay_names + scenario.program_names
-    if len(set(names)) < len(names) or len(names) > MOST_RELAYS:
-        raise ValueError(f"program: two processes share a name, or there are over {MOST_RELAYS}")
+    if len(set(names)) < len(names) or len(names) > MOST_PROCESSES:
+        raise ValueError(f"program: two processes share a name, or there are over {MOST_PROCESSES}")
     ports = {name: program.ports for program in scenario.program for name in program.names}
     ports |= dict.fromkeys(scenario.relay_names, (CLIENTS_PORT, ADMIN_PORT))
     for at, program in enumerate(scenario.program):
--- a/tests/lab/test_scenarios.py
+++ b/tests/lab/test_scenarios.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from fleetlab import runs, scenario, schedule
+from fleetlab import addresses, lab, runs, scenario, schedule
+from fleetlab.fleet import FleetError
 from fleetlab.scenario import Fault
 from standins import clients
 from standins.scripted import ROOT
@@ -24,7 +25,7 @@
         ("seconds = 4", "about"),
         (GOOD + "speed = 1", "speed"),
         (GOOD + "relays = 0", "relays: 0"),
-        (GOOD + "relays = 201", "relays: 201"),
+        (GOOD + "relays = 1025", "relays: 1025"),
         (GOOD + 'relays = "three"', "relays: "),
         (GOOD + "seconds = 1e9", "seconds"),
         (GOOD + "[load]\nper_s = -1", "load"),
@@ -154,3 +155,29 @@
     assert front.relay(0.2, 12.1) == "r0"  # nobody is left: where it would have gone
     front.ready("r0")
     assert front.relay(0.9, 12.1) == "r0"
+
+
+def test_a_thousand_relays_and_servers_have_addresses_of_their_own() -> None:
+    """Processes, links and the lab's own; beyond them the run says so."""
+    held, other = addresses.Addresses(), addresses.Addresses()
+    links = range(0, 1024 * 30, addresses.LINKS_EACH)
+    found = [held.process(number) for number in range(scenario.MOST_PROCESSES)]
+    found += [held.at(place) for place in (addresses.CLAIM, addresses.CLIENTS, addresses.SERVERS)]
+    found += [held.link(number) for number in links]
+    assert len(set(found)) == len(found)
+    assert not set(found) & {other.process(number) for number in range(scenario.MOST_PROCESSES)}
+    for place, beyond in ((held.process, addresses.PLACES), (held.link, 1 << 20)):
+        with pytest.raises(ValueError, match="run has"):
+            place(beyond)
+    held.close()
+    other.close()
+
+
+def test_a_run_of_a_thousand_relays_and_servers_can_be_written_and_what_it_needs_is_told() -> None:
+    """More links than this process may open sockets for are one line before anything starts."""
+    partners = "".join(f"[[partners]]\ndest = {dest}\nendpoints = 16\n" for dest in range(1, 65))
+    played = scenario.read(GOOD + "relays = 1024\n" + partners, "x")
+    assert len(played.relay_names) == len(played.hosts) == 1024
+    with pytest.raises(FleetError, match=f"1024 relays have {1024 * 1026} links"):
+        lab.check_descriptors(played)
+    lab.check_descriptors(scenario.read(GOOD + "relays = 3", "x"))
