--- a/mallowsweep/config.py
+++ b/mallowsweep/config.py
@@ -8,7 +8,7 @@
 
 from mallowquorum.config import Address, ConfigError, address_of, check_address, read
 from mallowquorum.machine import LEAST_TTL_MS, MOST_TTL_MS
-from mallowsweep.summary import MOST_NAME, MOST_RELAYS
+from mallowsweep.summary import MOST_IN_RECORD, MOST_NAME, MOST_RELAYS, slices_of
 
 MOST_PACE_PER_S = 200.0
 
@@ -37,6 +37,8 @@
         raise ConfigError("name, members: they may not be empty")
     if len(config.relays) > MOST_RELAYS:
         raise ConfigError(f"relays: there are {len(config.relays)}, and may be {MOST_RELAYS}")
+    if (most := max(map(len, slices_of(config.relays)))) > MOST_IN_RECORD:
+        raise ConfigError(f"relays: {most} have names that fall to one record, which holds {MOST_IN_RECORD}")
     for name in config.relays:
         if len(name.encode()) > MOST_NAME:
             raise ConfigError(f"relays: {name!r} is over {MOST_NAME} bytes")
--- a/mallowsweep/summary.py
+++ b/mallowsweep/summary.py
@@ -6,9 +6,15 @@
 
 from __future__ import annotations
 
+import zlib
+from collections import Counter
+from collections.abc import Iterable
+
 import msgspec
 
-MOST_RELAYS, MOST_NAME = 200, 24  # so many, with names so long, fit one record of the quorum
+MOST_IN_RECORD, MOST_NAME = 200, 24  # so many relays, with names so long, fit one record of the quorum
+SLICES = 16  # records of a fleet that one does not hold, each kept by a task of its own
+MOST_RELAYS = 2_048  # of which a slice gets 128 in the mean
 MOST_FIGURES = 14  # of a relay: the classes' and some of its own
 MOST_WHY = 60  # characters
 
@@ -67,6 +73,17 @@
     return found
 
 
+def slices_of(relays: Iterable[str]) -> list[list[str]]:
+    """The relays of each record: all in one, or by their names, so that none moves when others come."""
+    names = sorted(relays)
+    if len(names) <= MOST_IN_RECORD:
+        return [names]
+    slices: list[list[str]] = [[] for _ in range(SLICES)]
+    for name in names:
+        slices[zlib.crc32(name.encode()) % SLICES].append(name)
+    return slices
+
+
 def following(summary: Summary, relays: list[str], most: int) -> tuple[list[str], bool]:
     """The next relays to be read, in the order of their names, and whether they end a round."""
     names = sorted(relays)
@@ -95,14 +112,15 @@
     seen.at_s, seen.why, seen.now, seen.before = at_s, "", now, before
 
 
-def totals(summary: Summary) -> dict[str, int]:
+def totals(slices: Iterable[Summary]) -> dict[str, int]:
     """Sums over the fleet: of counts over all processes ever read, of others over the relays that answer."""
-    found = dict[str, int]()
-    for at, figure in enumerate(summary.names):
-        count = figure.endswith("|c")
-        found[figure.partition("|")[0]] = sum(
-            (seen.now[at] if at < len(seen.now) else 0) * (count or not seen.why)
-            + (seen.before[at] if count and at < len(seen.before) else 0)
-            for seen in summary.relays.values()
-        )
-    return found
+    found = Counter[str]()
+    for summary in slices:
+        for at, figure in enumerate(summary.names):
+            count = figure.endswith("|c")
+            found[figure.partition("|")[0]] += sum(
+                (seen.now[at] if at < len(seen.now) else 0) * (count or not seen.why)
+                + (seen.before[at] if count and at < len(seen.before) else 0)
+                for seen in summary.relays.values()
+            )
+    return dict(found)
--- a/mallowsweep/sweeper.py
+++ b/mallowsweep/sweeper.py
@@ -24,6 +24,7 @@
     noted,
     opened,
     packed,
+    slices_of,
     totals,
 )
 
@@ -66,13 +67,14 @@
 
 
 class Sweep:
-    """The task: one step reads as many relays as the pace allows in a second."""
+    """The task of one slice: a step reads as many relays as its part of the pace allows in a second."""
 
-    def __init__(self, config: Config) -> None:
-        self._relays = {name: address_of(text) for name, text in config.relays.items()}
-        self._pace_s, self._timeout_s = 1 / config.pace_per_s, config.timeout_ms / 1000
+    def __init__(self, config: Config, relays: list[str], slices: int) -> None:
+        self._relays = {name: address_of(config.relays[name]) for name in relays}
+        pace_per_s = config.pace_per_s / slices
+        self._pace_s, self._timeout_s = 1 / pace_per_s, config.timeout_ms / 1000
         self._pause_s = config.pause_ms / 1000
-        self._batch = max(1, int(STEP_S * config.pace_per_s))
+        self._batch = max(1, int(STEP_S * pace_per_s))
 
     async def step(self, state: bytes, token: int) -> Step:
         """Read the relays that follow; the next step, of whatever holder, goes on behind them."""
@@ -114,18 +116,32 @@
     return {"age_s": age_s, "why": seen.why} | {name.partition("|")[0]: value for name, value in figures}
 
 
-def shown(summary: Summary) -> dict[str, object]:
-    """The summary as operators read it."""
+def shown(slices: list[Summary]) -> dict[str, object]:
+    """The slices' summaries as operators read them, as one; a round is over once it is in each of them."""
     now_s = time.time()
-    relays = {name: line_of(summary, seen, now_s) for name, seen in sorted(summary.relays.items())}
+    relays = {
+        name: line_of(summary, seen, now_s) for summary in slices for name, seen in summary.relays.items()
+    }
     return {
-        "rounds": summary.rounds, "readings": summary.readings, "totals": totals(summary), "relays": relays,
-    }  # fmt: skip
+        "rounds": min(summary.rounds for summary in slices),
+        "readings": sum(summary.readings for summary in slices),
+        "totals": totals(slices),
+        "relays": dict(sorted(relays.items())),
+    }
+
+
+def tasks_of(slices: int) -> list[str]:
+    """The tasks' names: one, or one for each slice."""
+    return [TASK] if slices == 1 else [f"{TASK}-{number}" for number in range(slices)]
 
 
-async def summary_of(client: Client) -> Summary:
-    """The summary as the quorum has it; ``QuorumError`` where it does not tell."""
-    return opened((await client.read(READ_S, key=f"task/{TASK}")).value)
+async def summaries_of(client: Client, tasks: list[str]) -> list[Summary]:
+    """Each slice's summary as the quorum has it; ``QuorumError`` where it does not tell them all in time."""
+    until_s = time.monotonic() + READ_S
+    return [
+        opened((await client.read(max(0.0, until_s - time.monotonic()), key=f"task/{task}")).value)
+        for task in tasks
+    ]
 
 
 class Sweeper:
@@ -133,8 +149,13 @@
 
     def __init__(self, config: Config) -> None:
         self._config = config
-        terms = Terms(TASK, config.ttl_ms)
-        self.runner = Runner(config.quorum, config.name, Sweep(config), terms=terms)
+        slices = slices_of(config.relays)
+        self._tasks = tasks_of(len(slices))
+        sweeps = [Sweep(config, some, len(slices)) for some in slices]
+        self.runners = [
+            Runner(config.quorum, config.name, sweep, terms=Terms(task, config.ttl_ms))
+            for task, sweep in zip(self._tasks, sweeps, strict=True)
+        ]
         self._reader = Client(config.quorum, config.name)
         self._pages = Pages(
             {
@@ -149,36 +170,39 @@
         if self._config.operators:
             await self._pages.start(*address_of(self._config.operators))
         try:
-            await self.runner.run(over)
+            await asyncio.gather(*(runner.run(over) for runner in self.runners))
         finally:
             self._pages.stop()
             self._reader.close()
 
     async def _summary(self) -> Page:
         try:
-            summary = await summary_of(self._reader)
+            slices = await summaries_of(self._reader, self._tasks)
         except QuorumError as error:
             return Page(503, f"{error}\n".encode())
-        return Page(200, msgspec.json.format(msgspec.json.encode(shown(summary))) + b"\n", JSON)
+        return Page(200, msgspec.json.format(msgspec.json.encode(shown(slices))) + b"\n", JSON)
 
     async def _metrics(self) -> Page:
         """The fleet's sums and this sweeper's own counts, in Prometheus' form."""
-        registry, count = CollectorRegistry(), self.runner.count
+        registry, counts = CollectorRegistry(), [runner.count for runner in self.runners]
+        tokens = [runner.token for runner in self.runners]
         for name, text, value in (
-            ("sweep_token", "token under which this one sweeps, 0: it does not", self.runner.token),
-            ("sweep_taken", "times that this one took the task", count.taken),
-            ("sweep_lost", "times that it lost it", count.lost),
-            ("sweep_steps", "steps that this one did", count.steps),
-            ("sweep_errors", "steps of this one that failed", count.errors),
+            ("sweep_token", "newest token under which this one sweeps, 0: it does not", max(tokens)),
+            ("sweep_slices", "slices of the fleet", len(tokens)),
+            ("sweep_slices_held", "of these, the ones that this one sweeps", sum(map(bool, tokens))),
+            ("sweep_taken", "times that this one took a task", sum(count.taken for count in counts)),
+            ("sweep_lost", "times that it lost one", sum(count.lost for count in counts)),
+            ("sweep_steps", "steps that this one did", sum(count.steps for count in counts)),
+            ("sweep_errors", "steps of this one that failed", sum(count.errors for count in counts)),
         ):
             Gauge(name, text, registry=registry).set(value)
         try:
-            summary = await summary_of(self._reader)
+            slices = await summaries_of(self._reader, self._tasks)
         except QuorumError:
             return Page(200, generate_latest(registry), METRICS)
         sums = Gauge("fleet_figure", "sum over all relays", ["figure"], registry=registry)
-        for figure, total in totals(summary).items():
+        for figure, total in totals(slices).items():
             sums.labels(figure).set(total)
-        silent = sum(bool(seen.why) for seen in summary.relays.values())
+        silent = sum(bool(seen.why) for summary in slices for seen in summary.relays.values())
         Gauge("fleet_relays_silent", "relays whose last reading failed", registry=registry).set(silent)
         return Page(200, generate_latest(registry), METRICS)
--- a/tests/quorum/test_tasks.py
+++ b/tests/quorum/test_tasks.py
@@ -9,6 +9,7 @@
 import sys
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -19,6 +20,7 @@
 from mallowsweep import summary
 from mallowsweep.config import load
 from mallowsweep.summary import FiguresError, Summary, figures_of, following, noted, totals
+from mallowsweep.sweeper import shown, summaries_of, tasks_of
 from standins.scripted import ROOT
 from tests.quorum.servers import Quorum, quorum, until
 
@@ -131,9 +133,9 @@
     for at, (served, flying) in enumerate(((10, 3), (25, 4), (5, 1))):
         noted(found, "r0", float(at), figures_of(STATS.format("x", served, flying).encode()))
     noted(found, "r1", 3.0, figures_of(STATS.format("x", 7, 2).encode()))
-    assert totals(found) == {"requests.x.served": 25 + 5 + 7, "in_flight": 3}
+    assert totals([found]) == {"requests.x.served": 25 + 5 + 7, "in_flight": 3}
     noted(found, "r1", 4.0, None, "no answer in time")
-    assert totals(found) == {"requests.x.served": 37, "in_flight": 1}
+    assert totals([found]) == {"requests.x.served": 37, "in_flight": 1}
     assert summary.opened(summary.packed(found)) == found
     assert summary.opened(b"\xff garbage") == Summary()
 
@@ -142,7 +144,7 @@
     """With large counts, and with a relay that says a lot."""
     found = Summary()
     many = "".join(f"app.requests.class-{number}.served:{10**12}|c\n" for number in range(100))
-    for number in range(summary.MOST_RELAYS):
+    for number in range(summary.MOST_IN_RECORD):
         for life in (10**12, 10**9):
             lines = "".join(f"app.requests.class-{item}.served:{life}|c\n" for item in range(12))
             noted(found, f"relay-{number:018}", 1e9, figures_of((lines + many).encode()))
@@ -150,6 +152,42 @@
     assert len(summary.packed(found)) < MOST_VALUE
 
 
+def test_a_large_fleet_is_spread_over_records_that_hold_it() -> None:
+    """Each relay in one of them, and in the same one whoever else comes."""
+    names = [f"r{number}" for number in range(1024)]
+    slices = summary.slices_of(names)
+    assert sorted(name for some in slices for name in some) == sorted(names)
+    assert max(map(len, slices)) <= summary.MOST_IN_RECORD
+    more = summary.slices_of([*names, *(f"x{number}" for number in range(1024))])
+    assert all(set(some) <= set(others) for some, others in zip(slices, more, strict=True))
+    assert summary.slices_of(names[:200]) == [sorted(names[:200])], "a small fleet has one"
+
+
+def test_the_slices_of_a_fleet_are_shown_as_one() -> None:
+    """Sums over all of them, and rounds that are over in each."""
+    slices = [Summary(rounds=3), Summary(rounds=2)]
+    for at, found in enumerate(slices):
+        noted(found, f"r{at}", 1.0, figures_of(STATS.format("x", 10 + at, 1).encode()))
+    told: Any = shown(slices)
+    assert told["rounds"] == told["readings"] == 2
+    assert told["totals"] == {"requests.x.served": 21, "in_flight": 2}
+    assert list(told["relays"]) == ["r0", "r1"]
+
+
+@pytest.mark.parametrize(("relays", "reason"), [(1024, ""), (2048, ""), (2049, "relays: there are 2049")])
+def test_a_sweeper_takes_a_thousand_relays_and_says_what_is_too_much(
+    tmp_path: Path, relays: int, reason: str
+) -> None:
+    path = tmp_path / "sweep.toml"
+    lines = [f'r{number} = "127.0.0.1:{1 + number}"' for number in range(relays)]
+    path.write_text('name = "s"\n[members]\nq0 = "127.0.0.1:1"\n[relays]\n' + "\n".join(lines) + "\n")
+    if not reason:
+        assert len(load(path).relays) == relays
+        return
+    with pytest.raises(ConfigError, match=reason):
+        load(path)
+
+
 @pytest.mark.parametrize("body", [b"", b"<html>", b"app.x:1", b"app.x:-1|c", b"app.x:1|z", b"\xff:1|c|"])
 def test_what_are_no_figures_is_told(body: bytes) -> None:
     """And nothing of it is taken."""
@@ -218,23 +256,33 @@
 NAMES = ["r0", "r1", "r2", "r3", "r4"]
 
 
+def sweepers(folder: Path, some: Quorum, options: list[str], relays: dict[str, str]) -> list[Path]:
+    """The configurations of two sweepers of these relays."""
+    paths, members = [], {name: f"{host}:{port}" for name, (host, port) in some.members.items()}
+    for name in ("s0", "s1"):
+        path = folder / f"{name}.toml"
+        lines = [f'name = "{name}"', "pause_ms = 50", *options, "[members]"]
+        lines += [f"{key} = {json.dumps(item)}" for key, item in members.items()]
+        lines += ["[relays]", *(f"{key} = {json.dumps(item)}" for key, item in relays.items())]
+        path.write_text("\n".join(lines))
+        paths.append(path)
+    return paths
+
+
+def sweeping(paths: list[Path]) -> list[subprocess.Popen[bytes]]:
+    """The sweepers' processes."""
+    return [subprocess.Popen([sys.executable, "-m", "mallowsweep", str(path)], cwd=ROOT) for path in paths]
+
+
 async def test_one_of_two_sweepers_reads_and_the_other_goes_on(tmp_path: Path) -> None:
     """Real processes: relays are read in turn by one; it is killed, and the next goes on where it was."""
     relays = Relays()
     await relays.start(NAMES)
     async with quorum(tmp_path) as some:
         await some.leader()
-        paths, members = [], {name: f"{host}:{port}" for name, (host, port) in some.members.items()}
-        for name in ("s0", "s1"):
-            path = tmp_path / f"{name}.toml"
-            lines = [f'name = "{name}"', "pace_per_s = 4.0", "pause_ms = 50", "ttl_ms = 800", "[members]"]
-            lines += [f"{key} = {json.dumps(item)}" for key, item in members.items()]
-            lines += ["[relays]", *(f"{key} = {json.dumps(item)}" for key, item in relays.addresses.items())]
-            path.write_text("\n".join([*lines, 'gone = "127.0.0.1:1"']))
-            paths.append(path)
-        some_processes = [
-            subprocess.Popen([sys.executable, "-m", "mallowsweep", str(path)], cwd=ROOT) for path in paths
-        ]
+        more = {"gone": "127.0.0.1:1"}
+        paths = sweepers(tmp_path, some, ["pace_per_s = 4.0", "ttl_ms = 800"], relays.addresses | more)
+        some_processes = sweeping(paths)
         try:
             client = some.client()
             await until(lambda: len(relays.calls) > 8, 30)
@@ -257,12 +305,12 @@
             ]
             assert len(jumps) <= 1
             assert all(count - 5 <= at <= count + 1 for at in jumps)
-            shown = await asyncio.to_thread(
+            printed = await asyncio.to_thread(
                 subprocess.run,
                 [sys.executable, "-m", "mallowsweep", "summary", str(paths[0])],
                 cwd=ROOT, capture_output=True, text=True, timeout=30, check=True,
             )  # fmt: skip
-            assert json.loads(shown.stdout)["totals"]["requests.x.served"] > 0
+            assert json.loads(printed.stdout)["totals"]["requests.x.served"] > 0
             client.close()
         finally:
             for process in some_processes:
@@ -271,6 +319,39 @@
             relays.stop()
 
 
+async def test_a_thousand_relays_are_swept_on_when_their_sweeper_is_killed(tmp_path: Path) -> None:
+    """Real processes: each slice passes over with what was read of it, and all are shown as one fleet."""
+    relays = Relays()
+    await relays.start(["r0"])
+    fleet = {f"r{number}": relays.addresses["r0"] for number in range(1024)}
+    async with quorum(tmp_path) as some:
+        await some.leader()
+        paths = sweepers(tmp_path, some, ["pace_per_s = 200.0", "ttl_ms = 2000"], fleet)
+        processes = sweeping(paths)
+        client, tasks = some.client(), tasks_of(len(summary.slices_of(fleet)))
+        try:
+            await until(lambda: len(relays.calls) > 600, 60)
+            holders = [(await client.read(5.0, lease=f"task/{task}")).owner for task in tasks]
+            before = await summaries_of(client, tasks)
+            processes[int(max(set(holders), key=holders.count)[1])].kill()
+            while True:
+                after = await summaries_of(client, tasks)
+                if min(found.rounds for found in after) > max(found.rounds for found in before):
+                    break
+                await asyncio.sleep(0.2)
+            assert sum(len(found.relays) for found in after) == 1024
+            for one, other in zip(before, after, strict=True):
+                assert one.readings <= other.readings, "the next went on from what was written"
+                assert one.relays.keys() <= other.relays.keys()
+            assert not any(seen.why for found in after for seen in found.relays.values())
+            client.close()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+            relays.stop()
+
+
 def follows(one: str, other: str) -> bool:
     """Whether a relay is the next in turn."""
     return NAMES[(NAMES.index(one) + 1) % len(NAMES)] == other
