Name the key of a setting that cannot be met, and take no limit that cannot be kept to

Need: limits of 0 or below started a relay that could serve nobody, and a value that was no number ended the start with a line that named no key.

Change: limits.sockets, disk_mb and memory_mb have a least value (4, 0.01 and 1); listen, discovery, seed, known, admin and the limits are named in the line. Nothing else of the start changes.

--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator, Mapping
+import math
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from mallowlug.discovery import HostList, read_list
 from mallowlug.http import Address
@@ -14,6 +15,8 @@
 from mossfront.interface import Settings
 
 LEAST_MEMORY_MB = 32  # of any deployment: what a relay that is told no limit keeps to
+LEAST_SOCKETS = 4  # half are for clients, a quarter for idle connections to endpoints
+T = TypeVar("T")
 
 
 class ConfigError(ValueError):
@@ -75,6 +78,22 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
+def named(key: str, read: Callable[[Any], T], value: Any) -> T:
+    """A value by its reader; ``ConfigError`` names the key of one that cannot be read."""
+    try:
+        return read(value)
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def limit_of(limits: Mapping[str, Any], key: str, usual: float, least: float) -> float:
+    """A limit that the deployment sets; ``ConfigError`` names the key of one that cannot be kept to."""
+    value = named(f"limits.{key}", float, limits.get(key, usual))
+    if not least <= value < math.inf:
+        raise ConfigError(f"limits.{key}: {value:g} cannot be kept to, the least is {least:g}")
+    return value
+
+
 def seed_of(value: Any) -> int:
     """The seed is hexadecimal text; a plain number serves too."""
     return int(value, 16) if isinstance(value, str) else int(value)
@@ -98,20 +117,22 @@
         limits = raw.get("limits", {})
         return Config(
             name=environ.get("ROUTER_NAME") or str(raw["name"]),
-            listen=address_of(environ.get("ROUTER_LISTEN") or raw["listen"]),
-            discovery=address_of(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
+            listen=named("listen", address_of, environ.get("ROUTER_LISTEN") or raw["listen"]),
+            discovery=named("discovery", address_of, environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
             state=Path(environ["ROUTER_STATE"]),
-            seed=seed_of(raw.get("seed", 0)),
+            seed=named("seed", seed_of, raw.get("seed", 0)),
             # On sockets the directory answers only when asked, whatever the simulator's site says.
             settings=replace(settings_of(pairs), must_ask=True),
             connect_timeout_us=whole(pairs, "allowed.connect_timeout_us", 1_000_000),
-            disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
-            sockets=int(limits.get("sockets", 1024)),
-            memory_bytes=int(float(limits.get("memory_mb", LEAST_MEMORY_MB)) * 1_000_000),
-            known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
+            disk_bytes=int(limit_of(limits, "disk_mb", 3, 0.01) * 1_000_000),
+            sockets=int(limit_of(limits, "sockets", 1024, LEAST_SOCKETS)),
+            memory_bytes=int(limit_of(limits, "memory_mb", LEAST_MEMORY_MB, 1) * 1_000_000),
+            known=named("known", read_list, raw["known"]) if raw.get("known") else HostList(0, True, ()),
             passed_socket=int(passed) if (passed := environ.get("ROUTER_PASSED_SOCKET")) else None,
             folder=Path(environ.get("TMPDIR") or environ["ROUTER_STATE"]),
-            admin=address_of(admin) if (admin := environ.get("ROUTER_ADMIN") or raw.get("admin")) else None,
+            admin=named("admin", address_of, admin)
+            if (admin := environ.get("ROUTER_ADMIN") or raw.get("admin"))
+            else None,
         )
     except KeyError as error:
         raise ConfigError(f"missing {error.args[0]}") from None
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
 import tomllib
 from pathlib import Path
+from typing import Any
 
-from standins.scripted import ROOT
+import pytest
+
+from standins.scripted import ROOT, World
 
 UNWANTED = (
     *("_ssl", "_hashlib", "http.client", "email", "multiprocessing", "unittest", "tests", "tools"),
@@ -45,3 +49,41 @@
     source.write_text("WORD = 'new'\n")
     os.utime(source, ns=(times.st_atime_ns, times.st_mtime_ns))
     assert said("import mallowlug; print(mallowlug.WORD)", tmp_path).strip() == "new"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "reason"),
+    [
+        ("limits.sockets", 3, "limits.sockets: 3 cannot be kept to, the least is 4"),
+        ("limits.sockets", "many", "limits.sockets: could not convert"),
+        ("limits.disk_mb", 0, "limits.disk_mb: 0 cannot be kept to"),
+        ("limits.memory_mb", -1, "limits.memory_mb: -1 cannot be kept to"),
+        ("limits.memory_mb", float("nan"), "limits.memory_mb: nan cannot be kept to"),
+        ("listen", "nowhere", "listen: not an address: 'nowhere'"),
+        ("discovery", 7, "discovery: "),
+        ("seed", "zz", "seed: "),
+        ("known", [1], "known: not a list of hosts"),
+        ("settings.group_size", 0, "group_size: must be at least 1"),
+        ("settings.request_classes.0.deadline_us", -1, "classes.keyed.deadline_us"),
+    ],
+)
+def test_what_cannot_be_met_ends_the_start_with_one_line_that_names_the_key(
+    tmp_path: Path, path: str, value: object, reason: str
+) -> None:
+    """Before a socket or a file is opened."""
+    world = World(tmp_path)
+    told = {key: item for key, item in world.environment().items() if key != "ROUTER_DISCOVERY"}
+    config = json.loads((tmp_path / "config.json").read_text()) | {"discovery": "127.0.0.1:9"}
+    *way, last = path.split(".")
+    place: Any = config
+    for key in way:
+        place = place[int(key) if isinstance(place, list) else key]
+    place[last] = value
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    command = [sys.executable, "-m", "mallowlug"]
+    ended = subprocess.run(
+        command, cwd=ROOT, env=told, capture_output=True, text=True, check=False, timeout=30
+    )
+    assert ended.returncode == 2
+    assert f"configuration: {reason}" in ended.stderr
+    assert ended.stderr.count("\n") == 1
