--- a/mallowpeers/core.py
+++ b/mallowpeers/core.py
@@ -137,11 +137,14 @@
         self._at.setdefault(update.address, {})[update.name] = None
         if update.name == self.me.name:
             return
-        for roll, states in ((self._live, LIVE), (self._alive, LIVE[:1]), (self._failed, (State.FAILED,))):
-            if update.state in states:
-                roll.add(update.name)
-        if update.state is State.SUSPECT:
+        if update.state in LIVE:
+            self._live.add(update.name)
+        if update.state is State.ALIVE:
+            self._alive.add(update.name)
+        elif update.state is State.SUSPECT:
             self._suspects[update.name] = None
+        elif update.state is State.FAILED:
+            self._failed.add(update.name)
 
     def _drop(self, name: str) -> None:
         """It is among nobody any more."""
--- a/mallowsweep/__main__.py
+++ b/mallowsweep/__main__.py
@@ -15,7 +15,6 @@
 from mallowquorum.config import ConfigError
 from mallowquorum.logs import log_lines
 from mallowsweep.config import Config, load
-from mallowsweep.summary import slices_of
 from mallowsweep.sweeper import Sweeper, shown, summaries_of, tasks_of
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -38,7 +37,7 @@
 def summary(config: Annotated[Path, typer.Argument(help="The TOML file of any sweeper.")]) -> None:
     """What the sweeper has found, as JSON; 1 where the quorum does not tell."""
     loaded = load(config)
-    tasks = tasks_of(len(slices_of(loaded.relays)))
+    tasks = tasks_of(loaded.relays)
 
     async def ask() -> dict[str, object]:
         client = Client(loaded.quorum, loaded.name)
--- a/mallowsweep/sweeper.py
+++ b/mallowsweep/sweeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import h11
 import msgspec
@@ -130,12 +130,15 @@
     }
 
 
-def tasks_of(slices: int) -> list[str]:
-    """The tasks' names: one, or one for each slice."""
-    return [TASK] if slices == 1 else [f"{TASK}-{number}" for number in range(slices)]
+def tasks_of(relays: Iterable[str]) -> dict[str, list[str]]:
+    """The relays that each task reads, by its name: one task, or one for each slice."""
+    slices = slices_of(relays)
+    if len(slices) == 1:
+        return {TASK: slices[0]}
+    return {f"{TASK}-{number}": some for number, some in enumerate(slices)}
 
 
-async def summaries_of(client: Client, tasks: list[str]) -> list[Summary]:
+async def summaries_of(client: Client, tasks: Iterable[str]) -> list[Summary]:
     """Each slice's summary as the quorum has it; ``QuorumError`` where it does not tell them all in time."""
     until_s = time.monotonic() + READ_S
     return [
@@ -149,12 +152,11 @@
 
     def __init__(self, config: Config) -> None:
         self._config = config
-        slices = slices_of(config.relays)
-        self._tasks = tasks_of(len(slices))
-        sweeps = [Sweep(config, some, len(slices)) for some in slices]
+        self._tasks = tasks_of(config.relays)
+        sweeps = {task: Sweep(config, some, len(self._tasks)) for task, some in self._tasks.items()}
         self.runners = [
             Runner(config.quorum, config.name, sweep, terms=Terms(task, config.ttl_ms))
-            for task, sweep in zip(self._tasks, sweeps, strict=True)
+            for task, sweep in sweeps.items()
         ]
         self._reader = Client(config.quorum, config.name)
         self._pages = Pages(
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -139,8 +139,8 @@
     at = next(at for at, item in enumerate(some) if isinstance(item, records.Call) and item.t > 0.5)
     call = some[at]
     assert isinstance(call, records.Call)
-    replies = [at for at, item in enumerate(some) if isinstance(item, records.Reply)]
-    gone = next(at for at in replies if changed(some[at]).conn == call.conn and some[at].t > call.t)
+    replies = [(at, item) for at, item in enumerate(some) if isinstance(item, records.Reply)]
+    gone = next(at for at, item in replies if item.conn == call.conn and item.t > call.t)
     some[gone] = changed(some[gone], t=call.t + 0.2)
     some.insert(at + 1, records.Noticed(call.t + 0.1, call.relay, call.refs[0], "bounced"))
 
--- a/tests/quorum/test_tasks.py
+++ b/tests/quorum/test_tasks.py
@@ -328,7 +328,7 @@
         await some.leader()
         paths = sweepers(tmp_path, some, ["pace_per_s = 200.0", "ttl_ms = 2000"], fleet)
         processes = sweeping(paths)
-        client, tasks = some.client(), tasks_of(len(summary.slices_of(fleet)))
+        client, tasks = some.client(), tasks_of(fleet)
         try:
             await until(lambda: len(relays.calls) > 600, 60)
             holders = [(await client.read(5.0, lease=f"task/{task}")).owner for task in tasks]
