Ask discovery again within what its news may take, in however large a group

Cause: after an ask that failed the module waited 125 ms for each relay of its group, times 0.2 to 1.8, and twice that the next time (`_roster`, `ask_gap_us`): 6 to 103 s in a group of 230, while a change of the list counts as told 6 s after discovery could be reached, whatever failed before. A relay whose watch failed once went on with an old list for that long. In a group of two the same happened after asks that hung 3 s each, by the second gap.

Change: no two asks lie farther apart than 5.5 s, counted from the start of the one that failed, as discovery may have come back right behind that. A group too large to wait for its turns asks in a fixed order, by each relay's own number, so that the asks of all lie evenly: `Settings.number`, `my_number` on the wire.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -43,6 +43,7 @@
 FEW = 4  # relays of which each still sees by itself what all take together of a limit
 TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
 ASK_US, LIST_US = 500_000, 125_000  # us before a broken watch is asked for again; of a list in a queue of all
+TOLD_US = 5_500_000  # us between asks at most: news counts as told 6 s after the directory could be reached
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
 KNEE = 0.7  # share of a refused pace that is soon taken up again
 RECOVER_US, KNEE_US = 4_000_000, 60_000_000  # us for e-fold growth up to there, and above
@@ -79,6 +80,7 @@
         self.begun_us = -1  # when this life's first step was
         # The next ask, and the gap before one after that: the first of a life often comes with all others'.
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), max(ASK_US, self._turn_us)
+        self.asked_us = 0  # the last ask
         self.status_us = 0  # when destinations that hold messages are logged next
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
@@ -117,7 +119,8 @@
             self._forget()
         if 0 <= self.ask_us <= now_us:  # a directory that only answers; an unanswered ask is made again
             self.actions.append(Subscribe())
-            self.ask_us = now_us + max(2_000_000, self.set.ask_within_us // 2)
+            self.asked_us = now_us
+            self.ask_us = now_us + min(TOLD_US, max(2_000_000, self.set.ask_within_us // 2))
         times = [heap[0][0] for heap in (self.due, self.ends) if heap] + [self.ask_us] * (self.ask_us >= 0)
         if times and (self.wake_us <= now_us or min(times) < self.wake_us):
             self.wake_us = max(min(times), now_us + self.set.round_us)
@@ -164,11 +167,26 @@
         """Time in which each relay of the group can ask the directory once."""
         return LIST_US * self.set.group_size
 
+    def _ask_again_us(self) -> int:
+        """When to ask again after an ask that failed or a watch that broke.
+
+        The directory may be back right behind the ask that failed, and what it has counts from then. So no
+        two asks lie farther apart than that; a group that cannot wait for its turns asks in a fixed order.
+        """
+        gap_us, spent_us = self.ask_gap_us * self.rng.uniform(0.2, 1.8), self.now - self.asked_us
+        if spent_us > TOLD_US - 2 * ASK_US:  # a watch that served for long
+            return self.now + int(min(gap_us, 2 * ASK_US))
+        if self.ask_gap_us <= (left_us := TOLD_US - spent_us):
+            return self.now + int(min(gap_us, left_us))
+        place_us = TOLD_US * self.set.number // self.set.group_size
+        turn_us = (place_us - self.asked_us) % TOLD_US or TOLD_US
+        return self.now + (turn_us - spent_us if turn_us > spent_us else left_us * turn_us // spent_us)
+
     def _roster(self, event: Roster) -> None:
         """Follow the directory; where it must be asked, a failed or broken watch is asked for again."""
         if event.kind is RosterKind.FAILED:
             if self.set.must_ask:
-                self.ask_us = self.now + int(self.ask_gap_us * self.rng.uniform(0.2, 1.8))
+                self.ask_us = self._ask_again_us()
                 longest_us = max(ASK_US, self.set.ask_within_us // 4, 2 * self._turn_us)
                 self.ask_gap_us = min(max(2 * self.ask_gap_us, self._turn_us), longest_us)
             return
--- a/mossfront/drill.py
+++ b/mossfront/drill.py
@@ -151,6 +151,7 @@
         tenants=tenants,
         zone_fees=dict(fees),
         group_size=whole(pairs, "group_size", 1),
+        number=whole(pairs, "my_number", 0),
         hold_cap=whole(pairs, "allowed.open_cap"),
         max_attempts=whole(pairs, "allowed.most_tries"),
         round_us=whole(pairs, "round_us"),
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -95,6 +95,7 @@
     tenants: tuple[Tenant, ...] = ()
     zone_fees: dict[str, float] = field(default_factory=dict)
     group_size: int = 1
+    number: int = 0  # this relay's own among them, from 0
     hold_cap: int = 1000
     max_attempts: int = 1
     round_us: int = 1000
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -255,7 +255,8 @@
 
 def ask_times(size: int, number: int) -> list[int]:
     """When a relay asks for the list, if each answer to it comes 2 s later and turns it away."""
-    checker = Checker(settings(group_size=size, must_ask=True, ask_within_us=10 * SECOND), seed=number)
+    told = settings(group_size=size, number=number % size, must_ask=True, ask_within_us=10 * SECOND)
+    checker = Checker(told, seed=number)
     now_us, failed_us, asked = 0, -1, list[int]()
     while now_us < 30 * SECOND:
         failed = [api.Roster(api.RosterKind.FAILED)] if now_us == failed_us else []
