Take a watch for broken when no whole line comes, and open it at a new address at once

Cause: `Watch._lines` began its patience anew with each piece of the answer, and with each empty line before the first list. A peer that sends a byte now and then, in the middle of a line behind the first list, kept a dead watch open for good; the status and the first list had 3 s each, one behind the other. And `Watch.move` (SIGHUP) started a watch at the new address only where one was running: between two watches the relay waited for the module's next ask, up to 52 s in a group of 230, while what the new address has counts as told 4 s after the signal.

Tests with a real process and a peer that falls silent or drips at nine places of the answer, and SIGHUP between two watches in groups of 2, 30 and 230.

--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -17,8 +17,8 @@
 
 LOG = logging.getLogger(__name__)
 HOSTS, NOTICES = "/discovery/hosts", "/v1/notices"
-FIRST_S = 3.0  # s for the first line of a watch; a call that waits too long is ended by the other side
-QUIET_S = 3.0  # s of silence that break a watch: a cut network is silent, and an empty line is due every 2 s
+FIRST_S = 3.0  # s for a watch to come up and tell its first list; pieces of an answer or empty lines are none
+QUIET_S = 3.0  # s without a whole line that break a watch: a cut network is silent, and one is due every 2 s
 MOST_LINE = 1 << 20  # bytes of one line of a watch
 POST_S = (0.25, 1.0)  # s for the answer to a notice, which is given at once: at first, and at most
 WORKERS, MOST_NOTICES = 3, 64  # posts out at once, so that a hanging one delays no other; lines in a post
@@ -101,7 +101,7 @@
         if address == self._address:
             return
         self._address = address
-        if self._task is not None and not self._task.done():
+        if self._task is not None:  # also between two watches: the new address need not wait for that
             self._task.cancel()
             self._start()
 
@@ -116,8 +116,9 @@
 
     async def _run(self) -> None:
         connection: Connection | None = None
+        first_s = asyncio.get_running_loop().time() + FIRST_S
         try:
-            async with asyncio.timeout(FIRST_S):
+            async with asyncio.timeout_at(first_s):
                 connection = await Connection.open(self._address)
                 self.connections += 1
                 target = f"{HOSTS}?watch=1&from={self.seq}"
@@ -126,7 +127,7 @@
             if answer.status_code != 200:
                 raise ConnectionError(f"status {answer.status_code}")
             LOG.info("discovery: watch answered, from version %d", self.seq)
-            await self._lines(connection)
+            await self._lines(connection, first_s)
         except (*FAULTS, TimeoutError, ValueError) as error:
             LOG.info("discovery: watch ended: %r", error)
         except Exception:
@@ -137,11 +138,14 @@
                 connection.close()
         self._failed()
 
-    async def _lines(self, connection: Connection) -> None:
-        """Tell each line in order until the watch ends, falls silent or makes no sense."""
-        rest = b""
+    async def _lines(self, connection: Connection, by_s: float) -> None:
+        """Tell each line in order until the watch ends, falls silent or makes no sense.
+
+        Bytes that come one by one are silence until they make a line: whoever sends them tells nothing.
+        """
+        loop, rest = asyncio.get_running_loop(), b""
         while True:
-            async with asyncio.timeout(QUIET_S if self._answered else FIRST_S):
+            async with asyncio.timeout_at(by_s):
                 event = await connection.event()
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError("the watch was ended")
@@ -151,6 +155,8 @@
             for line in lines:
                 if line.strip():
                     self._line(read_list(json.loads(line)))
+            if lines and self._answered:
+                by_s = loop.time() + QUIET_S
 
     def _line(self, news: HostList) -> None:
         self._answered = True
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,19 +2,77 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+from collections.abc import Callable
 from itertools import pairwise
 
 import pytest
 
 from mossfront import interface as api
 from mossfront.brain import Relay
-from standins.scripted import World
+from standins.scripted import Request, World
 from tests.support import SECOND, entry, roster, settings
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TOLD_S = 6.0  # what discovery has counts as told so long after it could be reached
 SIZES = (2, 30, 230)  # relays in the group
 
 
+def drip(*pieces: bytes, byte: bytes) -> Callable[[Request], None]:
+    """Write the pieces, then for ever the byte, faster than any silence that would break the watch."""
+
+    def reply(request: Request) -> None:
+        async def run() -> None:
+            for piece in pieces:
+                request.writer.write(piece)
+            while not request.writer.is_closing():
+                request.writer.write(byte)
+                await asyncio.sleep(0.2)
+
+        drips.add(task := asyncio.get_running_loop().create_task(run()))
+        task.add_done_callback(drips.discard)
+
+    drips = set[asyncio.Task[None]]()
+    return reply
+
+
+def chunk(line: bytes) -> bytes:
+    """One chunk of a chunked answer."""
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
+LIST = chunk(json.dumps({"seq": 1, "whole": True, "hosts": []}).encode() + b"\n")
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        pytest.param(drip(byte=b"H"), id="in the status line"),
+        pytest.param(drip(b"HTTP/1.1 200 OK\r\nX: ", byte=b"y"), id="in a header"),
+        pytest.param(drip(HEAD, byte=chunk(b"\n")), id="empty lines and no list"),
+        pytest.param(drip(HEAD, byte=chunk(b"{")), id="in the first list"),
+        pytest.param(drip(HEAD, LIST, byte=chunk(b" ")), id="in a later line"),
+        pytest.param(drip(HEAD, LIST, b"f", byte=b"0"), id="in a chunk's size"),
+        pytest.param(lambda request: request.writer.write(HEAD), id="silent behind the head"),
+        pytest.param(lambda request: request.writer.write(HEAD + LIST), id="silent behind the first list"),
+        pytest.param(lambda _request: None, id="silent from the start"),
+    ],
+)
+async def test_a_watch_without_a_whole_line_is_broken_and_opened_anew(
+    world: World, broken: Callable[[Request], None]
+) -> None:
+    world.settings["group_size"] = 230
+    world.directory.script.append(broken)
+    await world.run()
+    first = await world.directory.call(0)
+    host = await world.add("late")
+    again = await world.directory.call(1)
+    assert again.at_s - first.at_s < TOLD_S
+    assert await (await world.client()).hand_in("m1") == b"+OK"
+    assert (await host.call(0)).ids == ["m1"]
+
+
 @pytest.mark.parametrize("size", SIZES)
 async def test_a_discovery_that_is_back_is_asked_in_time(world: World, size: int) -> None:
     """It may be back right behind each ask that failed: no two asks lie farther apart than the news may."""
@@ -26,6 +84,21 @@
     assert all(gap_s < TOLD_S for gap_s in gaps_s), gaps_s
 
 
+@pytest.mark.parametrize("size", SIZES)
+async def test_a_move_between_two_watches_is_followed_at_once(world: World, size: int) -> None:
+    """After SIGHUP it counts 4 s later; the old address has failed, and its next ask lies far ahead."""
+    world.settings["group_size"] = size
+    host = await world.add("h1")
+    world.directory.down = True
+    client = await world.run()
+    await world.directory.call(0)
+    moved_s = asyncio.get_running_loop().time()
+    await world.move()
+    assert (await world.directory.call(0)).at_s - moved_s < 4
+    await client.hand_in("m1")
+    assert (await host.call(0)).ids == ["m1"]
+
+
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("failed_us", [0, SECOND // 10, 3 * SECOND])
 def test_asks_that_fail_late_or_at_once_lie_no_farther_apart(size: int, failed_us: int) -> None:
