Write no repeat whose key's window ended while its connection came up or its bytes were written

Cause: the module keeps a repeat inside its key's window when it decides it (`_end_us`), and nothing looked at the window again. The repeat ran after the window, in effect twice.

Change: `Send.begin_us` tells how long a repeat may begin, counted from the step that decided it. `Hosts` leaves the message out of the call once that has passed and nothing of it is written, and gives the call up where its last byte is still here: the protocol proves that it never ran. The write itself looks once more, as a timer may come late.

Shown with a real process: a first call that is reset, and a second one whose connection comes up behind a full backlog after the window of 1 s. With real connections held back by a gate: the end of a window while connecting, unseen by its timer, and under a call that is written in part, by timer and by the write's own look.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 import time
 from collections import Counter
@@ -48,6 +49,7 @@
     body: bytes
     limit_us: int
     left_us: int  # until the message's time is up
+    begin_by_s: float = math.inf  # monotonic time by which its last byte has to be out: its key's window
     overdue: bool = False  # its limit has passed
     settled: bool = False
     timer: asyncio.TimerHandle | None = None
@@ -73,6 +75,7 @@
     sent_s: float
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
+    bar: asyncio.TimerHandle | None = None  # runs until the first of its messages may no longer begin
     carried: list[Part] = field(default_factory=list)  # what its request carries
     idle_ms: int | None = None  # how long its connection had stood idle; None: it is new
 
@@ -299,6 +302,8 @@
     def _start(self, call: Call, exchange: Callable[[Call], Awaitable[bool]], since_s: float) -> None:
         loop = self._loop
         self.calls.add(call)
+        if not call.written:
+            self._bar_later(call)
         for part in call.open:
             if part.overdue:
                 until_s = since_s + max(part.limit_us, part.left_us) / 1e6
@@ -394,6 +399,27 @@
             more_s = max(0, part.left_us - part.limit_us) / 1e6
             part.timer = self._loop.call_later(more_s, self._give_up, call)
 
+    def _bar_later(self, call: Call) -> None:
+        """Look again when the first of its messages may no longer begin."""
+        by_s = min((part.begin_by_s for part in call.open), default=math.inf)
+        call.bar = self._loop.call_at(by_s, self._bar, call) if by_s < math.inf else None
+
+    def _bar(self, call: Call) -> None:
+        """Leave out what may no longer begin while the last byte is not out: that never runs.
+
+        It goes alone while nothing is written; bytes of it that are out would let it run with the rest.
+        """
+        if call.written:
+            return
+        begun, now_s = call.connection is not None and call.connection.begun, self._loop.time()
+        for part in call.open:
+            if begun or part.begin_by_s <= now_s:
+                self._settle(call, part, Told(Verdict.NOT_SENT))
+        if call.open:
+            self._bar_later(call)
+        elif call.task is not None:
+            call.task.cancel()
+
     def _give_up(self, call: Call) -> None:
         """Wait for the call no longer: it is over for all that it carries, and its connection is closed."""
         for part in call.open:
@@ -428,6 +454,8 @@
         finally:
             if call.connection is not None and not keep:
                 call.connection.close()
+            if call.bar is not None:
+                call.bar.cancel()
             self.calls.discard(call)
             for part in call.open:
                 self._settle(call, part, told)
@@ -439,13 +467,15 @@
         if connection.kept_s:
             call.idle_ms = int((time.monotonic() - connection.kept_s) * 1000)
         # Connecting takes time, in which a wait or a drain may have been told: it binds this write too.
-        barred, parts = self.barred(call.host), call.open
-        if barred is not None:
-            for part in parts:
-                self._settle(call, part, barred)
+        barred, now_s = self.barred(call.host), self._loop.time()
+        for part in call.open:
+            if barred is not None or part.begin_by_s <= now_s:
+                self._settle(call, part, barred or Told(Verdict.NOT_SENT))
+        parts = call.open
+        if not parts:
             return self._keep(call.host, connection)
         call.carried = parts
-        await connection.send(request_of(connection, parts))
+        await connection.send(request_of(connection, parts), min(part.begin_by_s for part in parts))
         self.written += len(parts)
         return await self._answered(call)
 
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -64,15 +64,19 @@
         ]
         return b"".join(part or b"" for part in parts)
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, by_s: float = math.inf) -> None:
         """Hand every byte to the kernel; ``unsent`` is exact at every moment, also when this is cancelled.
 
+        None is handed over after ``by_s``, a time of the loop: ``TimeoutError``, and the last one stays here.
+
         ``loop.sock_sendall`` will not do: cancelled after its last byte it looks as if it had not ended,
         and a call that may have run would be taken for one that never did.
         """
         view = memoryview(data)
         self.unsent, self.begun = len(view), False
         while view:
+            if by_s < math.inf and self._loop.time() >= by_s:
+                raise TimeoutError("too late for the rest of a request")
             try:
                 sent = self.sock.send(view)
             except (BlockingIOError, InterruptedError):
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -156,6 +156,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._status: asyncio.TimerHandle | None = None  # of the next status line
         self._next_s = 0.0  # when the next step is allowed
+        self._step_us = 0  # when the last step was: what it decided counts from then
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._put_off: list[api.Send] = []  # calls that were not made for that
         self._classes = {cls.name for cls in config.settings.classes}
@@ -425,7 +426,8 @@
         events, self._inbox = self._inbox, []
         try:
             begun_ns = time.perf_counter_ns()
-            actions = self._module.step(self.clock(), events)
+            self._step_us = self.clock()
+            actions = self._module.step(self._step_us, events)
             self.module_us += (time.perf_counter_ns() - begun_ns) // 1000
             self._carry_out(actions)
         except Exception as error:
@@ -499,7 +501,10 @@
         held = self._held[send.id]
         number, held.attempts = held.attempts, held.attempts + 1
         left_us = held.handed.deadline_us - now_us
-        return Part(send.id, number, held.handed.key, held.body, send.limit_us, left_us)
+        part = Part(send.id, number, held.handed.key, held.body, send.limit_us, left_us)
+        if send.begin_us:
+            part.begin_by_s = (self._step_us - self.clock.offset_us + send.begin_us) / 1e6
+        return part
 
     def _can_end(self, send: api.Send) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -323,8 +323,11 @@
         if message.attempts >= self.set.max_attempts or (risky and cls.effect is Effect.UNSAFE):
             return self.now
         end = message.deadline_us - self._margin_us(cls)
-        window = message.risky_us + cls.window_us - self.set.round_us
-        return min(end, window) if risky and cls.effect is Effect.KEYED else end
+        return min(end, self._window_us(message)) if risky and cls.effect is Effect.KEYED else end
+
+    def _window_us(self, message: Message) -> int:
+        """When a keyed message that may have run may no longer be repeated."""
+        return message.risky_us + message.cls.window_us - self.set.round_us
 
     def _margin_us(self, cls: MessageClass) -> int:
         """Time that a further call takes at least."""
@@ -764,4 +767,7 @@
         call.messages, call.open = call.messages + 1, call.open + 1
         call.carries[message.id] = message.attempts
         message.out[message.attempts], message.attempts = call, message.attempts + 1
-        self.actions.append(Send(message.id, endpoint.host, max(1, limit_us)))
+        begin_us = 0
+        if message.cls.effect is Effect.KEYED and message.risky_us >= 0:
+            begin_us = max(1, self._window_us(message) - self.now)
+        self.actions.append(Send(message.id, endpoint.host, max(1, limit_us), begin_us))
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -242,11 +242,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call an endpoint with a message."""
+    """Call an endpoint with a message; after ``begin_us`` the call must not begin any more (0: it may)."""
 
     id: str
     host: str
     limit_us: int
+    begin_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import pickle
 import socket
 import struct
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import h11
 import pytest
@@ -40,9 +42,17 @@
         self.told[part.id] = told
         self.ended.set()
 
-    def send(self, *refs: str, limit_us: int = 20_000_000, body: bytes = b"x") -> Call:
-        """One call."""
+    def send(
+        self,
+        *refs: str,
+        limit_us: int = 20_000_000,
+        body: bytes = b"x",
+        begin_by_s: dict[str, float] | None = None,
+    ) -> Call:
+        """One call; some messages may begin only until a time."""
         parts = [Part(ref, 0, "", body, limit_us, 60_000_000) for ref in refs]
+        for part in parts:
+            part.begin_by_s = (begin_by_s or {}).get(part.id, math.inf)
         call = Call("h1", parts, time.monotonic())
         self.hosts.send(call)
         return call
@@ -141,6 +151,83 @@
         assert call.connection.begun
 
 
+@asynccontextmanager
+async def held_up(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[asyncio.Event]:
+    """Connections come up only once the event is set."""
+    gate, opened = asyncio.Event(), Connection.open
+
+    async def late(address: tuple[str, int]) -> Connection:
+        await soon(gate.wait())
+        return await opened(address)
+
+    monkeypatch.setattr(Connection, "open", late)
+    yield gate
+    gate.set()
+
+
+async def test_a_window_that_ends_while_a_connection_comes_up_bars_the_write(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A repeat that runs after its key's window takes effect twice; what came with it goes on alone."""
+    host = await serving()
+    calls = Calls(host.port)
+    async with held_up(monkeypatch) as gate:
+        call = calls.send("m1", "m2", begin_by_s={"m1": time.monotonic() + 0.05})
+        assert await calls.outcome("m1") == Told(Verdict.NOT_SENT)
+        assert call.connection is None
+        gate.set()
+        assert (await calls.outcome("m2")).verdict is Verdict.OK
+    assert [request.ids for request in host.seen] == [["m2"]]
+    host.stop()
+
+
+async def test_a_window_that_ended_unseen_bars_the_write(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The loop may be late: the connection is up and the timer that tells of the end has not run."""
+    host = await serving()
+    calls = Calls(host.port)
+    monkeypatch.setattr(Hosts, "_bar_later", lambda _hosts, _call: None)
+    async with held_up(monkeypatch) as gate:
+        ends_s = time.monotonic() + 0.05
+        calls.send("m1", begin_by_s={"m1": ends_s})
+        while time.monotonic() < ends_s:
+            await asyncio.sleep(0.01)
+        gate.set()
+        assert await calls.outcome("m1") == Told(Verdict.NOT_SENT)
+    assert calls.hosts.idle == 1, "the connection serves the next call"
+    assert host.seen == []
+    host.stop()
+
+
+@pytest.mark.parametrize("timed", [True, False])
+async def test_a_window_that_ends_under_a_partly_written_call_keeps_its_last_byte_back(
+    monkeypatch: pytest.MonkeyPatch, timed: bool
+) -> None:
+    """All that the call carries then never ran; with the last byte it would run, late."""
+    if not timed:  # the peer reads on at the very moment at which the window is over
+        monkeypatch.setattr(Hosts, "_bar_later", lambda _hosts, _call: None)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(1)
+        sock.setblocking(False)
+        calls, ends_s = Calls(sock.getsockname()[1]), time.monotonic() + 1.0
+        names = [f"m{n}" for n in range(64)]
+        call = calls.send(*names, body=bytes(65536), begin_by_s={"m0": ends_s})
+        loop = asyncio.get_running_loop()
+        peer, _ = await soon(loop.sock_accept(sock))
+        while call.connection is None or not call.connection.begun:
+            await asyncio.sleep(0.01)
+        while time.monotonic() < ends_s:
+            await asyncio.sleep(0.01)
+        came = 0
+        while data := await soon(loop.sock_recv(peer, 1 << 20)):
+            came += len(data)
+        assert came < 64 * 65536
+        for name in names:
+            assert (await calls.outcome(name)).verdict.never_ran
+        peer.close()
+
+
 async def test_a_limit_after_the_last_byte_may_have_run_and_closes() -> None:
     host = await serving(silent)
     calls = Calls(host.port)
@@ -365,6 +452,7 @@
 
 async def test_a_new_connection_that_is_turned_away_is_told_apart_from_a_full_limit() -> None:
     """Told as a limit, it slowed the pace of a destination that had room."""
+
     def turned_away(request: Request) -> None:
         request.answer(503, Connection="close")
 
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,87 @@
+"""The window of a key with the real process: nothing is repeated that could run after it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from mossfront import interface as api
+from mossfront.brain import Relay
+from standins.scripted import Request, World
+from tests.support import KEYED, SECOND, arrival, ended, entry, roster, sends, settings
+
+WINDOW_S = 1.0
+
+
+def shorten(world: World) -> None:
+    """Keys last a second."""
+    short = {"dedup_window_us": int(WINDOW_S * SECOND), "key_scope": "all"}
+    world.settings["request_classes"] = [cls | short for cls in world.settings["request_classes"]]
+
+
+async def test_a_connection_that_comes_up_after_the_window_carries_no_repeat(world: World) -> None:
+    """The first call is reset and may have run; the next one's connection is up once the key has passed."""
+    shorten(world)
+    loop, came = asyncio.get_running_loop(), bytearray()
+    with socket.socket() as full:  # a full backlog takes no further connection
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        full.setblocking(False)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        host = await world.add("h1")
+        client = await world.run()
+
+        def reset(request: Request) -> None:
+            world.directory.change("h1", dial=f"127.0.0.1:{full.getsockname()[1]}")
+            request.reset()
+
+        host.script.append(reset)
+        assert await client.hand_in("m1", "keyed", d=8000) == b"+OK"
+        first = await host.call(0)
+
+        async def accept() -> None:
+            while loop.time() < first.at_s + WINDOW_S:
+                await asyncio.sleep(0.01)
+            while True:
+                peer, _ = await loop.sock_accept(full)
+                while data := await loop.sock_recv(peer, 65536):
+                    came.extend(data)
+                peer.close()
+
+        for filler in fillers:
+            filler.close()
+        accepting = asyncio.create_task(accept())
+        assert (await world.directory.notice("m1"))["result"] == "bounced"
+        accepting.cancel()
+    assert not came
+    assert len(host.seen) == 1
+
+
+async def test_a_window_that_passes_while_the_process_is_down_is_over(world: World) -> None:
+    """The next life counts from the first attempt that may have run, by a clock that goes on."""
+    shorten(world)
+    host = await world.add("h1", lambda _request: None)
+    client = await world.run()
+    assert await client.hand_in("m1", "keyed") == b"+OK"
+    first = await host.call(0)
+    await world.kill()
+    while asyncio.get_running_loop().time() < first.at_s + WINDOW_S:
+        await asyncio.sleep(0.01)
+    await world.run()
+    assert (await world.directory.notice("m1"))["result"] == "bounced"
+    assert len(host.seen) == 1
+
+
+def test_a_repeat_tells_how_long_it_may_begin() -> None:
+    relay = Relay(settings(), seed=1)
+    [first] = sends(relay.step(0, [roster(entry("h1")), arrival("m1", KEYED)]))
+    assert first.begin_us == 0
+    relay.step(SECOND, [ended(first, api.Verdict.RESET)])
+    again = [
+        send for at in range(1, 40) for send in sends(relay.step(SECOND + at * 100_000, [api.TimerDue()]))
+    ]
+    assert again, "it is repeated within the window"
+    assert 0 < again[0].begin_us <= KEYED.window_us - SECOND - settings().round_us
