End clients' connections without a reset: answer what lies in the socket, and read on behind the end

Cause: `Client.end` closed where the program had no byte of a request, while one could lie in the socket, and `_serve` closed behind the last answer in the same way. Closing over unread bytes resets the connection: the client sees no end between requests, and an answer just written can go with it. Where a peer was told of its error the connection was cut 0.4 s later (`LINGER_S`) whatever still came, so a flood that takes longer had its error line reset away.

Change: a connection that is to end has two turns of the loop, in which what has arrived is read and answered; then only the sending is ended, and what comes is read and dropped (its client sends it again on a new connection; taken on here too it would run twice) until the peer closes or has been silent for 0.4 s, 6 s at most. A shutdown waits for these as well.

Tests with real connections, the request put into the socket and the end called within one turn: answered, and a clean end; ECONNRESET without the change, for a whole request and for one with a part of the next behind it. A flood ten times as long as `LINGER_S` gets its line (reset without the change); one without end is cut. `gone` in these tests waits for ending connections too, as they are now kept apart from those that are served.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -89,7 +89,7 @@
             journal_bytes=self.journal.written_bytes,
             journal_writes=self.journal.writes,
             descriptors={
-                "clients": len(self.server.clients),
+                "clients": self.server.connections,
                 **self.driver.descriptors,
                 "operators": len(self.admin.callers),
                 "files": FILES,
@@ -223,9 +223,9 @@
     service.offer.close()  # what is not given by now goes through the journal
     start_s = asyncio.get_running_loop().time()
     driver.shut_down(start_s + LAST_S)
-    await until(start_s + SERVE_S, lambda: not server.clients and driver.idle, start_s + 0.5)
+    await until(start_s + SERVE_S, lambda: not server.connections and driver.idle, start_s + 0.5)
     server.end_clients()
-    await until(start_s + LAST_S, lambda: not server.clients and driver.idle, start_s + SERVE_S + 0.3)
+    await until(start_s + LAST_S, lambda: not server.connections and driver.idle, start_s + SERVE_S + 0.3)
     LOG.info("SIGTERM: shut down")
 
 
--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -22,7 +22,10 @@
 NUMBER = re.compile(rb"[0-9]{1,12}")
 UNFINISHED_SHARE = 0.125  # of the memory: requests that are coming in, of all clients together
 PATIENCE_S = 2.5  # s for a whole request: a connection without one may go after 2 s, and has to after 3 s
-LINGER_S = 0.4  # s that a peer which was told of its error may go on sending before it is cut off
+LINGER_S = 0.4  # s of silence after which a connection whose sending was ended is closed
+FLOOD_S = 6.0  # s after which it is closed although its peer goes on sending
+TURNS = 2  # of the loop, in which what a connection has brought by now is read and answered
+PARTING_SHARE = 0.25  # of the bound on clients: connections whose sending was ended, beside the others
 MOST_DEST = 65535  # no list names a destination beyond; a message for one would owe an end and find no host
 LONGEST_MS = 24 * 3600 * 1000
 
@@ -86,7 +89,10 @@
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # runs while a request is waited for
         self.ending = False
-        self._parted = False  # told of its error; what it sends on is read and dropped
+        self._closing = False  # it will be closed within some turns, if no request begins meanwhile
+        self._parted = False  # the sending was ended; what the peer sends on is read and dropped
+        self._stirred = False  # whether it sent something since it was looked at last
+        self._last_s = math.inf  # the loop's time when it is closed whatever comes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -98,11 +104,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._rest()
         self._count(0)
-        self._server.clients.pop(self, None)
+        self._server.left(self)
 
     def pause_writing(self) -> None:
         """A client that does not read its answers is not read either: buffers stay bounded."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self._transport.is_closing() and not self._parted:
             self._transport.pause_reading()
 
     def resume_writing(self) -> None:
@@ -113,6 +119,7 @@
         """Answer every whole request; a broken frame or an error in here ends this connection alone."""
         assert self._transport is not None
         if self._parted:
+            self._stirred = True
             return
         self._server.clients.move_to_end(self)
         try:
@@ -139,7 +146,7 @@
         if self._data and self._timer is None:
             self._wait()
         if self.ending and not self._data:
-            self._transport.close()
+            self._close_soon()
 
     def _count(self, kept: int) -> None:
         """Tell the server how much of an unfinished request is kept here."""
@@ -183,24 +190,56 @@
             self._timer = None
 
     def _part(self, line: bytes) -> None:
-        """Tell the peer why and end the sending; what still comes is dropped for a moment.
+        """Tell the peer why and end the sending; what still comes is read and dropped for a moment.
 
-        Closing over bytes that nobody read would reset the connection, and a reset takes the line away from a
-        peer that has not read it yet. One that neither reads nor closes must not hold the connection open.
+        Closing over bytes that nobody read would reset the connection, and a reset takes what was written
+        away from a peer that has not read it yet. One that neither reads nor closes must not hold it open.
         """
         assert self._transport is not None
+        loop = asyncio.get_running_loop()
         self._rest()
-        self._parted, self._data = True, bytearray()
+        self._parted, self._data, self._stirred = True, bytearray(), False
         self._count(0)
+        self._server.parts(self)
         self._transport.write(line)
         self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+        self._transport.resume_reading()
+        self._last_s = loop.time() + FLOOD_S
+        self._timer = loop.call_later(LINGER_S, self._linger)
+
+    def _linger(self) -> None:
+        """Close once nothing comes any more, and whatever comes after a while."""
+        loop = asyncio.get_running_loop()
+        if self._stirred and loop.time() < self._last_s:
+            self._stirred, self._timer = False, loop.call_later(LINGER_S, self._linger)
+        else:
+            self.cut()
+
+    def cut(self) -> None:
+        """Close at once, whatever is on its way."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close_soon(self) -> None:
+        """End it behind what it has brought by now: a request that lies in the socket is answered first."""
+        if not self._closing:
+            self._closing = True
+            self._turn(TURNS)
+
+    def _turn(self, left: int) -> None:
+        if left:
+            asyncio.get_running_loop().call_soon(self._turn, left - 1)
+            return
+        self._closing = False
+        over = self._transport is None or self._transport.is_closing() or self._parted
+        if not over and not self._data:  # else the answer to what has begun meanwhile ends it
+            self._part(b"")
 
     def end(self) -> None:
-        """Close between requests: now, or once the request that is coming in has its answer."""
+        """End it between requests: now, or once the request that is coming in has its answer."""
         self.ending = True
-        if not self._data and self._transport is not None:
-            self._transport.close()
+        if not self._data and not self._parted:
+            self._close_soon()
 
 
 class Server:
@@ -211,6 +250,7 @@
         # A burst of large requests is refused as it comes in: held together they could fill the memory.
         self.unfinished_bytes, self.most_unfinished_bytes = 0, int(memory_bytes * UNFINISHED_SHARE)
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one heard of last stands last
+        self.parting: OrderedDict[Client, None] = OrderedDict()  # those whose sending was ended, in turn
         self.listener: Listener | None = None
         self.refusing = False
 
@@ -231,6 +271,8 @@
             client = Client(self, state["data"].encode("latin-1"), state["by_s"])
             client.ending = state["ending"]
             await loop.connect_accepted_socket(lambda client=client: client, sock)  # type: ignore[misc]
+            if client.ending:
+                client.end()
 
     @property
     def serving(self) -> bool:
@@ -248,9 +290,28 @@
         if self.refusing:
             client.ending = True
 
+    def parts(self, client: Client) -> None:
+        """The sending to a client was ended; of too many such, the first one is closed at once."""
+        self.clients.pop(client, None)
+        self.parting[client] = None
+        if len(self.clients) + len(self.parting) > self.most * (1 + PARTING_SHARE):
+            self.parting.popitem(last=False)[0].cut()
+
+    def left(self, client: Client) -> None:
+        """A connection is over."""
+        self.clients.pop(client, None)
+        self.parting.pop(client, None)
+
+    @property
+    def connections(self) -> int:
+        """Those with clients that are open."""
+        return len(self.clients) + len(self.parting)
+
     def _make_room(self) -> None:
-        """No descriptor is left for a new one: the one that was silent longest goes, between its requests."""
-        if self.clients:
+        """No descriptor is left for a new one: one that is ending, or else that was silent longest, goes."""
+        if self.parting:
+            self.parting.popitem(last=False)[0].cut()
+        elif self.clients:
             next(iter(self.clients)).end()
 
     def end_clients(self) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import cast
 
@@ -29,7 +31,7 @@
 async def gone(server: clients.Server) -> None:
     """Wait until the server has let go of every connection."""
     async with asyncio.timeout(BOUND_S / 2):
-        while server.clients:
+        while server.connections:
             await asyncio.sleep(0)
 
 
@@ -58,6 +60,106 @@
     writer.close()
 
 
+async def test_a_flood_behind_a_broken_frame_is_read_until_it_stops(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A peer that sends all it has before it reads gets its line, however long that takes within bounds."""
+    monkeypatch.setattr(clients, "LINGER_S", 0.1)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(lambda: clients.Client(server), "127.0.0.1")
+    reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+    until_s = loop.time() + 10 * clients.LINGER_S
+    writer.write(BROKEN)
+    while loop.time() < until_s:
+        writer.write(bytes(4096))
+        await writer.drain()
+        await asyncio.sleep(0)
+    assert (await soon(reader.read())).startswith(b"-ERR"), "and the end behind it, with no reset"
+    writer.close()
+    await gone(server)
+    listener.close()
+
+
+async def test_a_flood_without_end_is_cut_off(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients, "LINGER_S", 0.05)
+    monkeypatch.setattr(clients, "FLOOD_S", 0.3)
+    _reader, writer = await parted(server)
+
+    async def flood() -> None:
+        while True:
+            writer.write(bytes(4096))
+            await writer.drain()
+
+    with pytest.raises(ConnectionError):
+        await soon(flood())
+    assert not server.connections
+
+
+@asynccontextmanager
+async def accepted(server: clients.Server) -> AsyncIterator[tuple[clients.Client, socket.socket]]:
+    """A client as the server has it, and the peer's socket, from which nothing reads by itself."""
+    loop, clients_of = asyncio.get_running_loop(), list[clients.Client]()
+
+    def made() -> clients.Client:
+        clients_of.append(client := clients.Client(server))
+        return client
+
+    listener = await loop.create_server(made, "127.0.0.1")
+    with socket.socket() as peer:
+        peer.setblocking(False)
+        await loop.sock_connect(peer, listener.sockets[0].getsockname())
+        while not server.clients:
+            await asyncio.sleep(0)
+        listener.close()
+        yield clients_of[0], peer
+
+
+@pytest.mark.parametrize("more", [b"", packed(b"PING")[:9]], ids=["whole", "and a part of the next"])
+async def test_a_request_that_lies_in_the_socket_when_its_connection_is_ended_is_answered(
+    server: clients.Server, more: bytes
+) -> None:
+    """Closed over bytes that nobody read, the connection is reset, and what was just written goes with it."""
+    loop = asyncio.get_running_loop()
+    async with accepted(server) as (client, peer):
+        await loop.sock_sendall(peer, packed(b"PING"))
+        assert await soon(loop.sock_recv(peer, 64)) == b"+PONG\r\n"
+        peer.send(packed(b"PING") + more)  # it is there, and the loop had no turn to read it
+        client.end()
+        assert await soon(loop.sock_recv(peer, 64)) == b"+PONG\r\n"
+        if more:
+            peer.send(packed(b"PING")[len(more) :])
+            assert await soon(loop.sock_recv(peer, 64)) == b"+PONG\r\n"
+        assert await soon(loop.sock_recv(peer, 64)) == b"", "an end, and no reset"
+        peer.close()
+        await gone(server)
+
+
+async def test_what_is_read_behind_the_end_of_sending_is_not_taken_on(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its client sends it once more on a new connection: taken on here too, it would run twice."""
+    asked = list[list[bytes] | None]()
+
+    def answer(words: list[bytes] | None) -> bytes:
+        asked.append(words)
+        return b"+OK\r\n"
+
+    monkeypatch.setattr(server, "answer", answer)
+    loop = asyncio.get_running_loop()
+    async with accepted(server) as (client, peer):
+        client.end()
+        assert await soon(loop.sock_recv(peer, 64)) == b""
+        peer.send(packed(*enqueue("m1")))
+        while not client._stirred:
+            await asyncio.sleep(0)
+        assert asked == []
+        assert client in server.parting
+        peer.close()
+        await gone(server)
+
+
 async def test_a_large_request_in_single_bytes_is_not_read_anew_with_each(
     server: clients.Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
