Keep within the bound on clients also when many connect at once

Cause: `Server.joined` ended the client that was silent longest, which stayed first in line until the loop's next turn. Of connections that came up in one turn each ended the same one again: 80 at once on a bound of 10 left 79.

The listener accepts an eighth of the bound in a turn, so that those who make room go before more come.

Tests: 80 connections at once on a bound of 10; and a real process with 64 descriptors, stopped while 200 clients connect and ask, discovery down: it serves, follows the list once that is back, and keeps an eighth of its descriptors.

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -26,6 +26,7 @@
 FLOOD_S = 6.0  # s after which it is closed although its peer goes on sending
 TURNS = 2  # of the loop, in which what a connection has brought by now is read and answered
 PARTING_SHARE = 0.25  # of the bound on clients: connections whose sending was ended, beside the others
+TURN_SHARE = 0.125  # of the bound on clients: those accepted in one turn, before any can make room for them
 MOST_DEST = 65535  # no list names a destination beyond; a message for one would owe an end and find no host
 LONGEST_MS = 24 * 3600 * 1000
 
@@ -241,6 +242,11 @@
         if not self._data and not self._parted:
             self._close_soon()
 
+    def give_way(self) -> None:
+        """End it for its descriptor: now, and a request that is coming in is refused."""
+        if not self._parted:
+            self._part(self._server.busy if self._data else b"")
+
 
 class Server:
     """Listens for clients and answers their requests."""
@@ -256,7 +262,8 @@
 
     async def start(self, sock: socket.socket) -> None:
         """Begin to accept; the journal must have been replayed by then."""
-        self.listener = Listener(sock, lambda: Client(self), self._make_room)
+        a_turn = max(1, int(self.most * TURN_SHARE))
+        self.listener = Listener(sock, lambda: Client(self), self._make_room, a_turn)
         await self.listener.start()
 
     def leave(self) -> tuple[list[dict[str, Any]], list[int]]:
@@ -286,7 +293,7 @@
         """
         self.clients[client] = None
         if len(self.clients) > self.most:
-            next(iter(self.clients)).end()
+            next(iter(self.clients)).give_way()
         if self.refusing:
             client.ending = True
 
@@ -312,7 +319,7 @@
         if self.parting:
             self.parting.popitem(last=False)[0].cut()
         elif self.clients:
-            next(iter(self.clients)).end()
+            next(iter(self.clients)).give_way()
 
     def end_clients(self) -> None:
         """Close every connection between requests; new ones get answers and are closed behind them."""
--- a/mallowlug/listen.py
+++ b/mallowlug/listen.py
@@ -13,7 +13,7 @@
 
 LOG = logging.getLogger(__name__)
 BACKLOG = 1024
-A_TURN = 64  # connections accepted in one turn of the loop, so that what is there already is served between
+A_TURN = 64  # connections accepted in one turn of the loop at most: what is there already is served between
 REST_S = 0.1  # s without accepting once no descriptor is left
 LOOK_S = 0.05  # s between looks whether an address is free
 
@@ -54,8 +54,9 @@
         sock: socket.socket,
         factory: Callable[[], asyncio.Protocol],
         full: Callable[[], None] = lambda: None,
+        a_turn: int = A_TURN,
     ) -> None:
-        self.sock, self._factory, self._full = sock, factory, full
+        self.sock, self._factory, self._full, self._a_turn = sock, factory, full, min(A_TURN, a_turn)
         self._loop = asyncio.get_running_loop()
         self._coming: set[asyncio.Task[object]] = set()  # connections that are coming up
         self._timer: asyncio.TimerHandle | None = None
@@ -87,7 +88,7 @@
         self._loop.add_reader(self.sock.fileno(), self._accept)
 
     def _accept(self) -> None:
-        for _ in range(A_TURN):
+        for _ in range(self._a_turn):
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import resource
+import signal
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -14,6 +16,7 @@
 from mallowlug import clients, resp
 from mallowlug.relay import Driver
 from standins.scripted import BOUND_S, Client, World, enqueue, packed, silent, soon
+from tests.test_listen import open_now
 
 BROKEN = b"nonsense\r\n"
 
@@ -160,6 +163,49 @@
         await gone(server)
 
 
+async def test_many_connections_at_once_stay_within_the_bound(server: clients.Server) -> None:
+    """Each of a burst makes room for itself: those that came up in the same turn of the loop are as many."""
+    loop, peers = asyncio.get_running_loop(), list[socket.socket]()
+    lefts = []
+    for _ in range(8 * server.most):
+        left, right = socket.socketpair()
+        lefts.append(left)
+        peers.append(right)
+    await asyncio.gather(*(loop.connect_accepted_socket(lambda: clients.Client(server), s) for s in lefts))
+    assert len(server.clients) == server.most
+    assert server.connections <= server.most * (1 + clients.PARTING_SHARE)
+    for peer in peers:
+        peer.close()
+    await gone(server)
+
+
+async def test_resting_clients_leave_descriptors_for_the_list_and_for_calls(world: World) -> None:
+    """They come in one burst while discovery is down, and each has had an answer: none may be timed out."""
+    world.sockets = 64
+    await world.add("h1")
+    await world.run()
+    await world.directory.call(0)
+    world.directory.lose()
+    assert world.process is not None
+    world.process.send_signal(signal.SIGSTOP)  # all of them wait to be accepted in the same turn
+    crowd = []
+    for _ in range(200):
+        reader, writer = await asyncio.open_connection(world.address, world.port)
+        writer.write(packed(b"PING"))
+        crowd.append((reader, writer))
+    resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (world.sockets, world.sockets))
+    world.process.send_signal(signal.SIGCONT)
+    client = await world.client()
+    assert await client.command(b"PING") == b"+PONG"
+    late = await world.add("h2", block=2)
+    world.directory.down = False
+    assert await client.hand_in("m1", dest=2) == b"+OK"
+    assert (await late.call(0)).ids == ["m1"]
+    assert len(open_now(world.process.pid)) <= world.sockets * 7 // 8, "calls and lists find some at any time"
+    for _reader, writer in crowd:
+        writer.close()
+
+
 async def test_a_large_request_in_single_bytes_is_not_read_anew_with_each(
     server: clients.Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
