Show the fleet's terms in the proving ground: silent lists, untried messages, readiness, cold sums

Need: the stricter terms on restarts, lists and cold partners concern several processes and had no scenario of their own.

- The fault `list-silent`: every open watch gets nothing more, for good and with no sign; new ones are served.
`drained` judges it, by the 6 s after which a change counts as told.
Bug planted for it: `deaf`, a plain relay that waits for ever.
- `ready_soon`: nine in ten relays that are started again are ready within 10 s.
- `untried_kept`: what restarts find untried, with half of its time left, is not mostly given up early with no call; `untried` counts such messages.
Both have a spoilt line each.
- A relay in the lab is told its own number, as the wire does.

With partners that refuse connections in place of hanging ones `untried_kept` first blamed the relay for messages whose eight tries had been refused, which no endpoint sees; it leaves these out, and says so.

--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -91,6 +91,7 @@
     "twice": "took effect twice and may not",
     "uncertain": "ended as failed, and may have run",
     "ran_unheard": "of these, took effect by their partner's record",
+    "untried": "found untried by a restart, with half of their time left",
     "calls": "calls that partners saw, one for each message in them",
 }
 
--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import cached_property
+from itertools import pairwise
 from statistics import median
 
 import msgspec
@@ -23,6 +24,8 @@
 TOLD_S = 0.05  # by which every time limit is longer on sockets
 WAIT_SLACK_S = 0.1  # after a wait is written, in which calls are let through
 READY_SLACK_S = 1.5  # after a relay is ready again, in which no notice is overdue
+READY_S, LATE_STARTS = 10.0, 0.1  # for a restarted relay to be ready; share of them that may take longer
+EARLY = 0.9  # of a message's time: one given up before has been given up early
 SILENT_S = 6.0  # after which whatever discovery has to tell counts as told
 INVALID_LAG_S = 0.25  # a lab that came later than this may have made what it reports
 UNDER_WAY_S = 0.25  # that an act may be on its way behind a check which a fault came after
@@ -85,6 +88,10 @@
         """When its time is up."""
         return self.handed.t + self.handed.left_s
 
+    def at(self, share: float) -> float:
+        """When so large a share of its time is over."""
+        return self.handed.t + share * self.handed.left_s
+
     @property
     def delivered(self) -> float | None:
         """When it was first answered as delivered."""
@@ -608,6 +615,73 @@
     ]
 
 
+def ready_soon(run: Run) -> list[Finding]:
+    """Nine in ten relays that are started again are ready within 10 s; one that ends before is no sign."""
+    again = [(name, life) for name in run.scenario.relay_names for life in run.lives.get(name, [])[1:]]
+    late = [item for item in again if min(item[1].ready, item[1].end, run.over) - item[1].start > READY_S]
+    if len(late) <= LATE_STARTS * len(again):
+        return []
+    return [Finding(life.start, f"{name} was not ready {READY_S:.0f} s after it") for name, life in late]
+
+
+def untried(run: Run) -> list[Story]:
+    """What restarts found untried, with half of its time left.
+
+    A refused connection is a try that no endpoint sees: messages for a partner that was down do not count.
+    """
+    found = []
+    for story in run.stories.values():
+        restart, ended, half_s = restart_with(run, story), story.ended, story.at(0.5)
+        if restart is None or restart.ready > half_s or (ended is not None and ended < restart.end):
+            continue
+        tried = any(attempt.came < restart.end for attempt in story.attempts)
+        until = min(story.at(EARLY), ended or half_s)
+        if not tried and not was_down(run, story.handed.dest, story.handed.t, until):
+            found.append(story)
+    return found
+
+
+def untried_kept(run: Run) -> list[Finding]:
+    """What restarts find untried, with half of its time left, is not mostly given up early with no call."""
+    found = untried(run)
+    given_up = [
+        Finding(ended, f"{story.handed.ref} of {story.handed.relay} was found untried and given up")
+        for story in found
+        if (ended := story.ended) is not None and ended < story.at(EARLY) and not story.attempts
+    ]
+    return given_up if 2 * len(given_up) > len(found) else []
+
+
+def was_down(run: Run, dest: int, since: float, until: float) -> bool:
+    """Whether an endpoint of a destination refused connections at some time in between."""
+    down: dict[str, bool] = {}
+    for state in run.partners:
+        if run.head.endpoints[state.host] != dest or state.t > until:
+            continue
+        if state.t >= since and down.get(state.host):
+            return True
+        down[state.host] = state.state in ("down", "fallen")
+    return any(down.values())
+
+
+@dataclass(frozen=True, slots=True)
+class Restart:
+    """The end of one life and when the next one was ready."""
+
+    end: float
+    ready: float
+
+
+def restart_with(run: Run, story: Story) -> Restart | None:
+    """The first restart of a message's relay after that took it on; None where there was none."""
+    if story.heard is None or not story.taken:
+        return None
+    lives = run.lives.get(story.handed.relay, [])
+    return next(
+        (Restart(life.end, after.ready) for life, after in pairwise(lives) if life.end > story.heard.t), None
+    )
+
+
 def one_actor(run: Run) -> list[Finding]:
     """By the resource's record: after an act under a newer token none under an older one is let in.
 
@@ -647,6 +721,8 @@
     "cold_spared": cold_spared,
     "answered": answered,
     "no_crash": no_crash,
+    "ready_soon": ready_soon,
+    "untried_kept": untried_kept,
 }
 
 
@@ -740,6 +816,7 @@
             any(n.result == "dead" for n in story.notices) and bool(story.ran) and story.delivered is None
             for story in taken
         ),
+        "untried": len(untried(run)),
         "calls": len(run.attempts),
     }
 
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -264,7 +264,7 @@
                 "disk_mb": scenario.disk_mb,
             },
             "known": msgspec.json.decode(agent.news(entries, whole=True)),
-            "settings": settings(scenario),
+            "settings": settings(scenario) | {"my_number": scenario.relay_names.index(name)},
         }
 
     async def _answers(self, member: Member) -> bool:
@@ -496,6 +496,8 @@
             self.platform.find()
         elif fault.kind == "list-moved":
             await self._move_platform()
+        elif fault.kind == "list-silent":
+            self.platform.silence()
         elif fault.kind == "list-crowded":
             state.crowded += 1
             await self._last(fault)
--- a/fleetlab/plain.py
+++ b/fleetlab/plain.py
@@ -21,8 +21,9 @@
 
 BUGS = (
     "forget", "late", "two-out", "repeat", "many", "wrong-destination", "ignore-drain", "ignore-wait",
-    "silent", "crash", "two-ends", "invent", "hammer",
+    "silent", "crash", "two-ends", "invent", "hammer", "deaf",
 )  # fmt: skip
+QUIET_S = 3.0  # s without a line after which a watch is opened anew
 CALL_S = 3.0  # s for a whole call
 
 
@@ -70,11 +71,12 @@
                 writer.write(b"GET /discovery/hosts?watch=1&from=0 HTTP/1.1\r\nHost: d\r\n\r\n")
                 await reader.readuntil(b"\r\n\r\n")
                 while True:
-                    size = int(await reader.readline(), 16)
-                    line = (await reader.readexactly(size + 2)).strip()
+                    async with asyncio.timeout(None if self.bug == "deaf" else QUIET_S):
+                        size = int(await reader.readline(), 16)
+                        line = (await reader.readexactly(size + 2)).strip()
                     if line and self.bug != "ignore-drain":
                         self.hosts |= {entry["host"]: entry for entry in json.loads(line)["hosts"]}
-            except (OSError, ValueError, asyncio.IncompleteReadError):
+            except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
                 await asyncio.sleep(0.2)
 
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -47,12 +47,12 @@
     "kill", "pause", "terminate", "slow", "limit",  # processes
     "cut", "reset", "delay", "throttle", "datagrams",  # links
     "partner-down", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain",  # partners
-    "list-gone", "list-crowded", "list-late", "list-moved",  # the platform
+    "list-gone", "list-crowded", "list-late", "list-moved", "list-silent",  # the platform
 ]  # fmt: skip
 ON_PROCESSES = ("kill", "pause", "terminate", "slow", "limit")
 ON_LINKS = ("cut", "reset", "delay", "throttle", "datagrams")
 ON_PARTNERS = ("partner-down", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain")
-ON_PLATFORM = ("list-gone", "list-crowded", "list-late", "list-moved")
+ON_PLATFORM = ("list-gone", "list-crowded", "list-late", "list-moved", "list-silent")
 
 
 class ScenarioError(ValueError):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -109,6 +109,11 @@
         for agent in self.agents.values():
             agent.end_watches()
 
+    def silence(self) -> None:
+        """Nothing comes on the watches that are open, for good and with no sign; new ones are served."""
+        for agent in self.agents.values():
+            agent.silence()
+
     def stop(self) -> None:
         """End everything."""
         for timer in self._timers:
@@ -151,6 +156,10 @@
             http.reset(writer.transport)
         self._watches.clear()
 
+    def silence(self) -> None:
+        """Write nothing more on the open watches."""
+        self._watches.clear()
+
     def news(self, entries: list[Entry], whole: bool) -> bytes:
         """A line of the list in discovery's form."""
         hosts = [entry.told(self._platform.dial(self.relay, entry.host)) for entry in entries]
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -23,7 +23,7 @@
     "forget": "ended_once", "late": "in_time", "two-out": "one_out", "repeat": "no_repeat",
     "many": "few_attempts", "wrong-destination": "own_destination", "ignore-drain": "drained",
     "ignore-wait": "waits_kept", "silent": "answered", "crash": "no_crash", "two-ends": "ended_once",
-    "invent": "own_destination", "hammer": "few_attempts",
+    "invent": "own_destination", "hammer": "few_attempts", "deaf": "drained",
 }  # fmt: skip
 
 
@@ -48,9 +48,7 @@
     folder = tmp_path_factory.mktemp("days")
     with ThreadPoolExecutor(4) as pool:
         results = pool.map(lambda bug: played(bug, folder), ("", *BUGS))
-    return {
-        bug: (*result, folder / f"run-{bug}") for bug, result in zip(("", *BUGS), results, strict=True)
-    }
+    return {bug: (*result, folder / f"run-{bug}") for bug, result in zip(("", *BUGS), results, strict=True)}
 
 
 Days = dict[str, tuple[int, dict[str, Any], Path]]
@@ -190,13 +188,36 @@
     some[at + 1 : at + 1] = [changed(some[at], conn=f"r0:{number}") for number in range(9)]
 
 
+def come_up_late(some: list[records.AnyRecord]) -> None:
+    some += [
+        records.Process(3.0, "r0", 1, "exit", -9),
+        records.Process(3.5, "r0", 2, "start"),
+        records.Process(14.0, "r0", 2, "ready"),
+    ]
+
+
+def give_up_untried(some: list[records.AnyRecord]) -> None:
+    """A restart finds the first message that was handed in untried, and ends it as soon as it is up."""
+    handed = next(item for item in some if isinstance(item, records.Handed))
+    some[:] = [item for item in some if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])]
+    t = handed.t
+    some += [
+        handed,
+        records.Heard(t + 0.01, handed.ref, "ok"),
+        records.Process(t + 0.1, handed.relay, 1, "exit", -9),
+        records.Process(t + 0.2, handed.relay, 2, "start"),
+        records.Process(t + 0.4, handed.relay, 2, "ready"),
+        records.Noticed(t + 0.5, handed.relay, handed.ref, "bounced"),
+    ]
+
+
 def act_late(some: list[records.AnyRecord]) -> None:
     for t, holder, token in ((1.0, "h0", 1), (2.0, "h1", 2), (2.1, "h0", 1)):
         some.append(records.Acted(t, "unfenced", "sweep", holder, token, True))
 
 
 SPOILT: dict[str, Callable[[list[records.AnyRecord]], None]] = {
-    "one_actor": act_late,
+    "one_actor": act_late, "ready_soon": come_up_late, "untried_kept": give_up_untried,
     "ended_once": lose, "in_time": end_late, "no_repeat": repeat, "effect_once": run_twice,
     "one_out": overlap, "none_out_past_end": end_while_out,
     "own_destination": send_astray, "waits_kept": hurry, "cold_spared": push_over,
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,7 +19,8 @@
 def suite(pytester: pytest.Pytester) -> pytest.Pytester:
     """A run of its own with one test that fails and one that passes."""
     pytester.makepyfile(test_suite=TESTS)
-    pytester.makeini("[pytest]\naddopts = -p tests.known_red\ntestpaths = .\nasyncio_default_fixture_loop_scope = function")
+    lines = ("addopts = -p tests.known_red", "testpaths = .", "asyncio_default_fixture_loop_scope = function")
+    pytester.makeini("\n".join(("[pytest]", *lines)))
     return pytester
 
 
