Read an answer that has come before its call is given up or called off

Cause: a call's limit, the end of a message's time and the module's word to call it off (`Hosts._late`, `_give_up`, `cancel`) ended the call at once, also where its answer had come in the same turn of the loop: read into the connection with nobody having looked at it, or still in the socket. A batch that was delivered whole was told as timed out: what may be repeated went again, and a `fee-payment` ended as failed. A 429 or 503 was told as "may have run", and the wait in it was not kept.

Change: before an end, what has come is taken in, and whoever waits for it looks at it first; once only, as an answer may come without end. `Connection.look`, `Hosts._after_answer`.

Tests with real connections, the loop held still until the answer is there and the limit is over: a batch and a refusal with a wait, by limit and by call.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -15,6 +15,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from functools import partial
+from typing import Any
 
 import h11
 
@@ -307,7 +308,7 @@
         for part in call.open:
             if part.overdue:
                 until_s = since_s + max(part.limit_us, part.left_us) / 1e6
-                part.timer = loop.call_at(until_s, self._give_up, call)
+                part.timer = loop.call_at(until_s, self._out_of_time, call)
             else:
                 part.timer = loop.call_at(since_s + part.limit_us / 1e6, self._late, call, part)
         call.task = loop.create_task(self._run(call, exchange))
@@ -359,7 +360,7 @@
         for call in list(self.calls):
             for part in call.open:
                 if (part.id, part.attempt) == (ref, attempt):
-                    self._stop(call, part, Verdict.CANCELLED)
+                    self._after_answer(call, self._stop, call, part, Verdict.CANCELLED)
 
     def close_idle(self, host: str) -> None:
         """Close the connections to a host that carry no call."""
@@ -384,12 +385,29 @@
         if told is not None:
             self._settled(call, part, told)
 
+    def _after_answer(self, call: Call, end: Callable[..., None], *args: Any) -> None:
+        """End something of a call, but not before an answer that has come and was not looked at yet.
+
+        Both may come up in one turn of the loop. Given up then, a message that was delivered would be told as
+        timed out, and a wait that was told would not be kept. Once only: an answer may come without end.
+        """
+        if call.connection is not None and call.connection.look():
+            self._loop.call_soon(end, *args)
+        else:
+            end(*args)
+
     def _late(self, call: Call, part: Part) -> None:
-        """A part's limit has passed: it ends with the call, or before while nothing of that is written.
+        """A part's limit has passed."""
+        self._after_answer(call, self._overdue, call, part)
+
+    def _overdue(self, call: Call, part: Part) -> None:
+        """It ends with the call, or before while nothing of that is written.
 
         While the call is out for the sake of others the message is out too: told as timed out it would be
         sent again beside itself, and ended it would still run. Once its own time is up the call ends.
         """
+        if part.settled:
+            return
         part.overdue = True
         if call.connection is None or not call.connection.begun:
             self._stop(call, part, Verdict.TIMEOUT)
@@ -397,7 +415,7 @@
             self._give_up(call)
         else:
             more_s = max(0, part.left_us - part.limit_us) / 1e6
-            part.timer = self._loop.call_later(more_s, self._give_up, call)
+            part.timer = self._loop.call_later(more_s, self._out_of_time, call)
 
     def _bar_later(self, call: Call) -> None:
         """Look again when the first of its messages may no longer begin."""
@@ -420,6 +438,10 @@
         elif call.task is not None:
             call.task.cancel()
 
+    def _out_of_time(self, call: Call) -> None:
+        """The time of one of its messages is up."""
+        self._after_answer(call, self._give_up, call)
+
     def _give_up(self, call: Call) -> None:
         """Wait for the call no longer: it is over for all that it carries, and its connection is closed."""
         for part in call.open:
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -176,6 +176,12 @@
             self._loop.remove_reader(self.sock.fileno())
             self._watched = False
 
+    def look(self) -> bool:
+        """Take in what has come; whether there is something that who waits for it has not looked at yet."""
+        if self._waiter is not None and not self._waiter.done():
+            self._stirred()
+        return self._waiter is not None and self._waiter.done()
+
     @property
     def says_delivered(self) -> bool:
         """Whether a first line with 200 has come, which is true even where the rest cannot be read."""
