End a message by a notice too where its delivery crosses the end of its time

Cause: `Driver._end` took any delivery for an end, and `deadline_us` is later than the message's time: that counts from when its client sent it, and the relay counts from when it reads it.

Change: a delivery known at the message's time or later, less the 50 ms that every limit is longer on sockets, is followed by `dead`. Where the delivery counted, the notice does no harm, as the protocol says.

Ruled out: a lost answer (it was read whole), a notice that was owed and not sent (none was written), a restart (none of this relay from 20 s on), a second hand-in (one id, one relay). Test with real connections, the loop held still from before the answer until its time is up: no notice without the change.

--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -33,6 +33,7 @@
 LOG = logging.getLogger(__name__)
 STATUS_S = 5.0  # s between log lines on connections
 BODIES_SHARE = 0.125  # of the memory: bodies of held messages, which the journal keeps a second time
+CROSSING_US = 50_000  # us by which a message's time may be up for its client before it is here
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 
 
@@ -399,10 +400,16 @@
 
     def _end(self, ref: str, delivered: bool) -> None:
         """Nothing more is owed: it was delivered, or its endpoint says that it is over."""
-        if (held := self._let_go(ref)) is None:
+        if (held := self._held.get(ref)) is None:
             return
-        if (late_us := self.clock() - held.handed.deadline_us) > 0:
+        late_us = self.clock() - held.handed.deadline_us
+        if delivered and late_us > -CROSSING_US:
+            # Its time counts from when its client sent it, and a delivery after it ends nothing. Where it did
+            # count, the notice does no harm.
             LOG.info("attempt: %s was over %d ms after its time", ref, late_us // 1000)
+            self._give_up(Notice(ref, "dead"))
+            return
+        self._let_go(ref)
         self._ended[held.handed.cls, SERVED] += delivered
         self._journal.over(ref)
         self._remember(ref)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
 
 import pytest
+import pytest_asyncio
 
+from mallowlug import config
 from mallowlug.hosts import Told
+from mallowlug.journal import Journal
+from mallowlug.relay import Driver, Handed
 from mossfront.interface import Verdict
-from standins.scripted import Request, silent
+from standins.scripted import Request, World, delivered, silent
 from tests.test_hosts import Calls, serving
 
 
@@ -18,6 +23,44 @@
     time.sleep(max(0.0, monotonic_s - time.monotonic()))
 
 
+@pytest_asyncio.fixture
+async def driver(world: World) -> AsyncIterator[Driver]:
+    """A relay without clients in the test's own process."""
+    cfg = config.load(world.environment())
+    driver = Driver(cfg, Journal(cfg.state, cfg.disk_bytes), lambda error: pytest.fail(repr(error)))
+    driver.start()
+    yield driver
+    driver.close()
+
+
+def handed(driver: Driver, ref: str, cls: str, left_s: float) -> Handed:
+    """A message with so much time left."""
+    return Handed(ref, 1, cls, driver.clock() + int(left_s * 1e6))
+
+
+async def test_a_delivery_that_crosses_the_end_of_its_time_is_told_by_a_notice_too(
+    world: World, driver: Driver
+) -> None:
+    """Whether it counted is the platform's to know: an answer after the message's time ends nothing."""
+    host = await world.add("h1", silent)
+    begun_s = time.monotonic()
+    assert driver.accept(handed(driver, "m1", "unsafe", 1.0), b"x")
+    delivered(await host.call(0))
+    hold_until(begun_s + 1.01)
+    assert await world.directory.notice("m1") == {"ref": "m1", "result": "dead"}
+    assert driver.figures.in_flight == 0
+    assert len(host.seen) == 1
+
+
+async def test_a_delivery_before_the_end_of_its_time_is_its_only_end(world: World, driver: Driver) -> None:
+    host = await world.add("h1")
+    assert driver.accept(handed(driver, "m1", "unsafe", 5.0), b"x")
+    assert driver.accept(handed(driver, "m2", "unsafe", 0.3), b"x")
+    host.script += [delivered, silent]
+    await world.directory.notice("m2")
+    assert [notice["ref"] for notice in world.directory.notices] == ["m2"]
+
+
 def whole(request: Request) -> None:
     """The whole answer to a call for several."""
     request.answer(200, "m1 delivered\r\nm2 refused\r\n")
