--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -190,9 +190,9 @@
 
 def come_up_late(some: list[records.AnyRecord]) -> None:
     some += [
-        records.Process(3.0, "r0", 1, "exit", -9),
-        records.Process(3.5, "r0", 2, "start"),
-        records.Process(14.0, "r0", 2, "ready"),
+        records.Process(-4.0, "r0", 1, "exit", -9),
+        records.Process(-3.5, "r0", 2, "start"),
+        records.Process(7.0, "r0", 2, "ready"),
     ]
 
 
