Follow a move of discovery that is told while another process is still the relay

Cause: until a process is the relay, `serve` took SIGHUP and forgot it (`lambda: None`), and its configuration is read at its start. The platform moves discovery and signals both processes; the one that waits for the lock, or for the other's estate, then watched the old address for the rest of its life, and posted notices there.

Change: a signal that came meanwhile is followed once the process is the relay.

Test with two processes: the old one is stopped so that it gives nothing, the new one waits for the lock, discovery moves, both are signalled, the old one goes on and gives. The new one learns of an endpoint from the new address; without the change its watch ends refused for ever.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -178,7 +178,8 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    moved = asyncio.Event()  # while another process is the relay still
+    loop.add_signal_handler(signal.SIGHUP, moved.set)
     service = Service(cfg)
     start = loop.create_task(service.start())
     ending = loop.create_task(terminated.wait())
@@ -188,6 +189,8 @@
         return 0
     start.result()
     loop.add_signal_handler(signal.SIGHUP, reload, service.driver)
+    if moved.is_set():
+        reload(service.driver)
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
     LOG.info("settings: %s; disk %d, sockets %d", cfg.settings, cfg.disk_bytes, cfg.sockets)
     stop = loop.create_task(shut_down(terminated, service))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,4 @@
-"""Two events that come up in one turn of the loop, with real connections and the loop held still before it."""
+"""Two events that come up in one turn of the loop, with real connections and the loop held still before."""
 
 from __future__ import annotations
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import signal
 import socket
 from pathlib import Path
@@ -278,3 +279,36 @@
     assert kept.recv(1) == b""  # the descriptor that had come was closed
     for sock in (ours, theirs, kept):
         sock.close()
+
+
+async def test_a_move_of_discovery_told_while_another_process_is_the_relay_is_followed(held: World) -> None:
+    """The platform tells both processes; the one that waits has read the file as it was."""
+    await held.run()
+    old = held.process
+    assert old is not None
+    old.send_signal(signal.SIGSTOP)  # it gives nothing yet
+    held.admin_port = held.free_port()
+    new = await held.spawn()
+    await waits_for_the_lock(new.pid)
+    await held.move()  # SIGHUP to the new one, and the file is another
+    old.send_signal(signal.SIGHUP)
+    old.send_signal(signal.SIGCONT)
+    while (await held.call("GET", "health"))[0] != 200:
+        await asyncio.sleep(0.02)
+    await soon(old.wait())
+    late = await held.add("late", block=2)
+    client = await held.client()
+    assert await client.hand_in("m1", dest=2) == b"+OK"
+    assert (await late.call(0)).ids == ["m1"]
+
+
+async def waits_for_the_lock(pid: int) -> None:
+    """Wait until a process has its handlers and looks for the lock: it has opened the file."""
+
+    async def looks() -> None:
+        while not any(
+            os.path.realpath(f"/proc/{pid}/fd/{fd}").endswith("/lock") for fd in os.listdir(f"/proc/{pid}/fd")
+        ):
+            await asyncio.sleep(0.01)
+
+    await soon(looks())
