--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -258,6 +258,31 @@
     host.stop()
 
 
+@pytest.mark.parametrize(
+    ("answer", "verdict", "kept"),
+    [
+        (b"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n", Verdict.OK, 1),
+        (b"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Verdict.FULL, 1),
+        (b"HTTP/1.1 200 X\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.OK, 0),
+        (b"HTTP/1.1 500 X\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.ERROR, 0),
+        (b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nand more", Verdict.OK, 0),
+        (b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.FULL, 0),
+    ],
+)
+async def test_of_an_answer_beside_others_the_final_one_counts(
+    answer: bytes, verdict: Verdict, kept: int
+) -> None:
+    """Interim and doubled status lines, and more bytes than the length says."""
+    host = await serving(lambda request: request.writer.write(answer))
+    calls = Calls(host.port)
+    calls.send("m1")
+    assert (await calls.outcome("m1")).verdict is verdict
+    while calls.hosts.calls:
+        await asyncio.sleep(0)
+    assert calls.hosts.idle == kept
+    host.stop()
+
+
 async def test_a_first_line_with_200_ends_a_call_long_before_its_limit() -> None:
     """Day 5: the rest never came, and a slot was held until the message's time was up."""
     host = await serving(lambda request: request.writer.write(OK_LINE + b"Content-"))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -12,7 +12,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from mallowlug.journal import SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
+from mallowlug.journal import MARK, SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
 from mallowlug.relay import Handed
 
 DISK = 3_000_000
@@ -236,3 +236,19 @@
     assert (tmp_path / "journal").stat().st_size < grown
     journal.close()
     assert set(reopened(tmp_path).recovered) == {"kept", "last"}
+
+
+def test_a_replay_that_is_cut_off_is_made_again(tmp_path: Path) -> None:
+    """A second kill while the log is read: it holds the same for the next life, torn tail or not."""
+    journal = Journal(tmp_path, DISK)
+    for name in ("a", "b"):
+        journal.accept(name, {"id": name}, b"x")
+    journal.tries([("a", Attempt(0, "h1", "z", 5))])
+    journal.close()
+    with (tmp_path / "journal").open("ab") as log:
+        log.write(MARK + b"half a record")
+    lives = [Journal(tmp_path, DISK) for _ in range(3)]  # none of them ends in order
+    assert all(life.recovered == lives[0].recovered for life in lives)
+    assert [len(message.attempts) for message in lives[0].recovered.values()] == [1, 0]
+    for life in lives:
+        life.close()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -117,3 +117,22 @@
             failing = not failing
         gaps_us = [later - sooner for sooner, later in pairwise(asked_us)]
         assert max(gaps_us) < TOLD_S * SECOND
+
+
+async def test_an_older_version_behind_a_newer_one_changes_nothing(world: World) -> None:
+    """News may be overtaken: applied last, the older one would undo a drain."""
+    drained, other = await world.add("h1"), await world.add("h2")
+    client = await world.run()
+    request = await world.directory.call(0)
+    before = world.directory.seq
+    world.directory.change("h1", health="DRAINING")
+    world.directory.seq, after = before, world.directory.seq
+    world.directory.tell(request, False, [world.directory.hosts["h1"] | {"health": "SERVING"}])
+    world.directory.seq = after
+    marker = await world.add("h3", block=2)  # what is told behind it shows that it was read
+    assert await client.hand_in("m0", dest=2) == b"+OK"
+    await marker.call(0)
+    for number in range(1, 6):
+        assert await client.hand_in(f"m{number}") == b"+OK"
+        await other.call(number - 1)
+    assert drained.seen == []
