Ask a relay's own agent again at once where the list is pushed

An ask that is out is answered at discovery's return, so what matters is how long none is.

Change: `Settings.pushed` (`discovery=push`): the next ask 50 to 450 ms after the one that failed.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -43,6 +43,7 @@
 FEW = 4  # relays of which each still sees by itself what all take together of a limit
 TOLD_DOWN, LEAST_PART = 0.6, 0.5  # the same where what is left is told; the least pace then, in equal parts
 ASK_US, LIST_US = 500_000, 125_000  # us before a broken watch is asked for again; of a list in a queue of all
+PUSHED_US = 250_000  # us before an agent is asked again that has the list at once when it is back
 TOLD_US = 5_500_000  # us between asks at most: news counts as told 6 s after the directory could be reached
 EASE, EASE_DOWN = 0.6, 0.5  # where less of a limit is left the pace eases off, by up to so much in a second
 KNEE = 0.7  # share of a refused pace that is soon taken up again
@@ -172,7 +173,10 @@
 
         The directory may be back right behind the ask that failed, and what it has counts from then. So no
         two asks lie farther apart than that; a group that cannot wait for its turns asks in a fixed order.
+        Where the list is pushed what the agent has counts at once, and whoever asks it asks nobody else.
         """
+        if self.set.pushed:
+            return self.now + int(PUSHED_US * self.rng.uniform(0.2, 1.8))
         gap_us, spent_us = self.ask_gap_us * self.rng.uniform(0.2, 1.8), self.now - self.asked_us
         if spent_us > TOLD_US - 2 * ASK_US:  # a watch that served for long
             return self.now + int(min(gap_us, 2 * ASK_US))
--- a/mossfront/drill.py
+++ b/mossfront/drill.py
@@ -162,6 +162,7 @@
         advise_retry=flag(pairs, "allowed.retry_after"),
         max_retry_after_us=whole(pairs, "allowed.max_retry_after_us", 0),
         must_ask=pairs.get("discovery", "push") == "ask",
+        pushed=pairs.get("discovery", "push") == "push",
         ask_within_us=whole(pairs, "rules.ask_within_us", 0),
         rates_told=weights in ("nominal", "rough"),
         rates_rough=weights == "rough",
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -106,6 +106,7 @@
     advise_retry: bool = False
     max_retry_after_us: int = 0
     must_ask: bool = False
+    pushed: bool = False  # the list comes to an agent beside the relay: to ask that costs nothing
     ask_within_us: int = 0
     rates_told: bool = False
     rates_rough: bool = False
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from mallowlug import discovery
 from mossfront import interface as api
 from mossfront.brain import Relay
 from standins.scripted import Request, World
@@ -84,6 +85,17 @@
     assert all(gap_s < TOLD_S for gap_s in gaps_s), gaps_s
 
 
+@pytest.mark.parametrize("size", SIZES)
+async def test_an_agent_that_was_silent_is_asked_again_before_its_news_bind(world: World, size: int) -> None:
+    """Where lists are pushed, what the agent gets at its return counts at once; a drain binds 2 s later."""
+    world.settings |= {"group_size": size, "discovery": "push"}
+    world.directory.script += [lambda _request: None, lambda request: request.answer(503)]
+    await world.run()
+    asks = [await world.directory.call(number) for number in range(3)]
+    assert asks[1].at_s - asks[0].at_s < discovery.FIRST_S + 2
+    assert asks[2].at_s - asks[1].at_s < 2
+
+
 @pytest.mark.parametrize("size", SIZES)
 async def test_a_move_between_two_watches_is_followed_at_once(world: World, size: int) -> None:
     """After SIGHUP it counts 4 s later; the old address has failed, and its next ask lies far ahead."""
