--- /dev/null
+++ b/mallowpeers/config.py
@@ -0,0 +1,97 @@
+"""A member's configuration: TOML, checked at the start; what cannot be used is one line with file and key."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from mallowpeers.core import Settings
+
+Address = tuple[str, int]
+MOST_NAME, MOST_SEEDS = 64, 64
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be used."""
+
+
+class Times(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Milliseconds on the member's own monotonic clock; the same at all members."""
+
+    period_ms: int = 1_000  # between two probes
+    ack_ms: int = 300  # for an answer, before others are asked to ask
+    gossip_ms: int = 200  # between two rounds of news alone
+    exchange_ms: int = 15_000  # between two whole exchanges
+    again_ms: int = 5_000  # between two probes of members that were declared failed
+
+
+class Config(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One member of a fleet."""
+
+    name: str
+    fleet: str  # members of another fleet are not heard
+    listen: str  # datagrams and connections of other members; others reach it there
+    folder: str  # the folder that lasts: the number of this life
+    seeds: list[str] = []  # addresses at which others may be found
+    zone: str = ""
+    operators: str = ""  # where operators read pages by HTTP; empty: nowhere
+    times: Times = Times()
+
+    @property
+    def settings(self) -> Settings:
+        """The core's settings."""
+        times = self.times
+        return Settings(
+            period_us=times.period_ms * 1000,
+            ack_us=times.ack_ms * 1000,
+            gossip_us=times.gossip_ms * 1000,
+            exchange_us=times.exchange_ms * 1000,
+            again_us=times.again_ms * 1000,
+        )
+
+
+def address_of(key: str, text: str) -> Address:
+    """``host:port``; ``ConfigError`` with the key where it is none."""
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{key}: not an address: {text!r}")
+    return host, int(port)
+
+
+def check(config: Config) -> None:
+    """What types alone do not tell; ``ConfigError`` begins with the key."""
+    for key in ("name", "fleet", "folder"):
+        if not 0 < len(getattr(config, key)) <= (MOST_NAME if key != "folder" else 4096):
+            raise ConfigError(f"{key}: from 1 to {MOST_NAME} characters")
+    if len(config.zone) > MOST_NAME:
+        raise ConfigError(f"zone: {MOST_NAME} characters at most")
+    if len(config.seeds) > MOST_SEEDS:
+        raise ConfigError(f"seeds: there are {len(config.seeds)}, and may be {MOST_SEEDS}")
+    address_of("listen", config.listen)
+    for text in config.seeds:
+        address_of("seeds", text)
+    if config.operators:
+        address_of("operators", config.operators)
+    times = config.times
+    if not 0 < 2 * times.ack_ms <= times.period_ms:
+        raise ConfigError("times.ack_ms: above 0, and at most half of period_ms")
+    for key in ("gossip_ms", "exchange_ms", "again_ms"):
+        if getattr(times, key) <= 0:
+            raise ConfigError(f"times.{key}: has to be above 0")
+
+
+def load(path: Path) -> Config:
+    """A member's configuration file; ``ConfigError`` names file and key."""
+    try:
+        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
+        check(config)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except msgspec.ValidationError as error:
+        reason, _, key = str(error).partition(" - at `$.")
+        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, ConfigError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return config
