Put members behind the lab's links, judge their views, and say what a member may do while they differ

Need: members ran on bare loopback, where nothing can be cut, and nothing said what a relay may do while views disagree.

- The lab's links carry datagrams beside connections (`datagrams = true`); `{at:NAME0:PORT}` and `{reach:NAME:PORT}` in a program's configuration, and `reach` in a member's, let each pair of members meet over a link of its own.
- Members write each change of their view down (`trace`); `views_agree` and `no_false_failure` judge that alone, each with a spoilt history.
- `standing.py`: where a member stands by the last settled fleet, and what that allows.
Of any parts one goes on at most; clients are served in every state; the number that a limit is shared among moves in steps, and fades where a part does not go on.

Not there: nothing in the relay heeds it yet.

--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -13,6 +13,7 @@
 from functools import cached_property
 from itertools import pairwise
 from statistics import median
+from typing import Any
 
 import msgspec
 
@@ -25,6 +26,7 @@
 WAIT_SLACK_S = 0.1  # after a wait is written, in which calls are let through
 READY_SLACK_S = 1.5  # after a relay is ready again, in which no notice is overdue
 READY_S, LATE_STARTS = 10.0, 0.1  # for a restarted relay to be ready; share of them that may take longer
+SETTLED_S, DOUBT_S = 12.0, 15.0  # after a fault, until members' views agree; in which it may still show
 EARLY = 0.9  # of a message's time: one given up before has been given up early
 SILENT_S = 6.0  # after which whatever discovery has to tell counts as told
 INVALID_LAG_S = 0.25  # a lab that came later than this may have made what it reports
@@ -153,6 +155,7 @@
         self.probes: list[records.Probed] = []
         self.unsent: list[records.Unsent] = []
         self.acts: list[records.Acted] = []
+        self.views: list[records.Viewed] = []
         self.measured: dict[str, dict[str, float]] = {}  # by program; of its last life
         self.told: dict[str, list[records.Told]] = defaultdict(list)
         self.changed: list[records.Changed] = []
@@ -163,6 +166,11 @@
         self.strangers: list[tuple[float, str, str]] = []  # calls with ids that no client handed in
         self._open: dict[str, list[Attempt]] = {}  # by connection
         self._ended: set[str] = set()  # connections that their relay has ended
+        self._kept: dict[type, list[Any]] = {  # records that are kept as they come
+            records.Acted: self.acts, records.Viewed: self.views, records.Changed: self.changed,
+            records.Fault: self.faults, records.Partner: self.partners, records.Probed: self.probes,
+            records.Unsent: self.unsent,
+        }  # fmt: skip
         for record in self.records[1:]:
             self._add(record)
 
@@ -201,20 +209,10 @@
                 self.phases[record.name] = record.t
             case records.Used():
                 self.used[record.name] = record
-            case records.Acted():
-                self.acts.append(record)
             case records.Measured():
                 self.measured[record.name] = record.figures
-            case records.Changed():
-                self.changed.append(record)
-            case records.Fault():
-                self.faults.append(record)
-            case records.Partner():
-                self.partners.append(record)
-            case records.Probed():
-                self.probes.append(record)
-            case records.Unsent():
-                self.unsent.append(record)
+            case _ if (kept := self._kept.get(type(record))) is not None:
+                kept.append(record)
             case _:
                 raise records.HistoryError("a second head within a history")
 
@@ -682,6 +680,57 @@
     )
 
 
+def members_of(run: Run) -> list[str]:
+    """The processes that hold views of each other."""
+    return sorted({seen.member for seen in run.views})
+
+
+def views_agree(run: Run) -> list[Finding]:
+    """Once faults have been over for a while, each living member holds just the living ones as alive.
+
+    Nothing is said where a fault on a member, or the start or end of one, came in the run's last seconds.
+    """
+    names = set(members_of(run))
+    disturbed_s = [0.0, *(t for name in names for life in run.lives[name] for t in (life.start, life.end))]
+    disturbed_s += [span.until for span in run.spans if span.on in names]
+    if run.over - max((t for t in disturbed_s if t < run.over), default=0.0) < SETTLED_S:
+        return []
+    if any(span.on in names and span.until >= run.over for span in run.spans):
+        return []
+    living = {name for name in names if run.lives[name] and run.lives[name][-1].end >= run.over}
+    found = []
+    for name in sorted(living):
+        mine = [seen for seen in run.views if seen.member == name]
+        last = max(seen.life for seen in mine)
+        held = {seen.name: seen.state for seen in mine if seen.life == last}
+        alive = {other for other, state in held.items() if state == "alive"} | {name}
+        if alive != living:
+            wrong = ", ".join(sorted(alive ^ living))
+            found.append(Finding(run.over, f"{name} holds {len(alive)} of {len(living)} as alive: {wrong}"))
+    return found
+
+
+def no_false_failure(run: Run) -> list[Finding]:
+    """No member is declared failed that lived, was reached and was in time; the one who says so neither."""
+    names, found = set(members_of(run)), []
+    for seen in run.views:
+        if seen.state != "failed":
+            continue
+        since = seen.t - DOUBT_S
+        concerned = {seen.member, seen.name, seen.by} & names
+        if any(member_disturbed(run, name, since, seen.t) for name in concerned):
+            continue
+        found.append(Finding(seen.t, f"{seen.member} holds {seen.name} as failed by the word of {seen.by}"))
+    return found
+
+
+def member_disturbed(run: Run, name: str, since: float, until: float) -> bool:
+    """Whether a member was down, started or met by a fault within a span."""
+    if any(span.on == name and span.since <= until and span.until >= since for span in run.spans):
+        return True
+    return not any(life.start <= since and life.end >= until for life in run.lives[name])
+
+
 def one_actor(run: Run) -> list[Finding]:
     """By the resource's record: after an act under a newer token none under an older one is let in.
 
@@ -723,6 +772,8 @@
     "no_crash": no_crash,
     "ready_soon": ready_soon,
     "untried_kept": untried_kept,
+    "views_agree": views_agree,
+    "no_false_failure": no_false_failure,
 }
 
 
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -8,26 +8,28 @@
 import shlex
 import signal
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
 from fleetlab.addresses import CLIENTS, SERVERS, Addresses
 from fleetlab.crowd import FIGURES
 from fleetlab.fleet import Fleet, FleetError, Limits, Member, deploy_run, peak_memory_mb, python_run
-from fleetlab.links import Address, Condition, TcpLink
+from fleetlab.links import Address, Condition, TcpLink, UdpLink
 from fleetlab.resource import ACTS, Act
 from fleetlab.scenario import (
     ADMIN_PORT,
+    AT,
     CLIENTS_PORT,
     LINK,
     ON_LINKS,
     ON_PARTNERS,
     ON_PLATFORM,
+    REACH,
     Fault,
     Program,
     Scenario,
@@ -35,11 +37,13 @@
 )
 from fleetlab.schedule import Planned, numbered, what
 from fleetlab.settings import settings
+from mallowpeers.trace import TRACE, Seen
 from standins import clients, records
 from standins.partner import Clock, Endpoint, Site
 from standins.platform import Entry, Platform
 from standins.scripted import packed
 
+T = TypeVar("T")
 KILL_AFTER_S = 3.7  # s from SIGTERM to SIGKILL, as the protocol's page says
 TICK_S, NOTED_LAG_S = 0.02, 0.03
 MOVED_S = 1.5  # s after which a discovery that has moved closes its open connections, as the terms say
@@ -99,6 +103,7 @@
         self._planned = numbered(faults)
         self._held: dict[str, int] = {}  # processes that faults hold down, by how many
         self._links: dict[tuple[str, str], TcpLink] = {}
+        self._datagrams: list[UdpLink] = []
         self._ports: dict[str, int] = {}  # of further processes: where each tells that it is ready
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: list[BaseException] = []
@@ -214,6 +219,8 @@
             for number, name in enumerate(program.names):
                 self._add_program(program, number, name, limits)
         self._say(f"starting {scenario.relays} relays at {self._places.name} and on")
+        for link in self._datagrams:
+            await link.start()
         members = list(self.fleet.members.values())
         for member in members:
             await self.fleet.start(member)
@@ -224,12 +231,12 @@
         address = self._others[name]
         member = self.fleet.add(name, "", {}, {}, limits)
         for called, port in links_of(program.config):
-            if (name, f"{called}:{port}") not in self._links:
-                target = partial(at, self._others.get(called) or self._addresses[called], port)
-                self._link(name, f"{called}:{port}", target, address).open()
+            self._reach(program, name, called, port)
         text = LINK.sub(
             lambda found: "{}:{}".format(*self._links[name, f"{found[1]}:{found[2]}"].address), program.config
         )
+        text = AT.sub(lambda found: f"{self._others[found[1]]}:{found[2]}", text)
+        text = REACH.sub(lambda found: self._reaches_of(program, name, found[1], int(found[2])), text)
         for word, value in (("address", address), ("number", str(number)), ("state", str(member.state))):
             text = text.replace(f"{{{word}}}", value)
         path = member.folder / "config.toml"
@@ -237,6 +244,31 @@
         member.command = f"{python_run(program.module)} {shlex.quote(str(path))}"
         self._ports[name] = program.ports[0]
 
+    def _reach(self, program: Program, name: str, called: str, port: int) -> Address:
+        """Where a process reaches another's port: a link, with one for datagrams where it sends any."""
+        if (link := self._links.get((name, f"{called}:{port}"))) is None:
+            target = partial(at, self._others.get(called) or self._addresses[called], port)
+            link = self._link(name, f"{called}:{port}", target, self._others[name])
+            link.open()
+            if program.datagrams:
+                near, number = link.address, len(self._datagrams)
+                beside = UdpLink(
+                    name, f"{called}:{port}", target, near=near[0], source=self._others[name],
+                    seed=self.seed * DISTINCT + DISTINCT // 2 + number,
+                )  # fmt: skip
+                beside.port = near[1]
+                self._datagrams.append(beside)
+        return link.address
+
+    def _reaches_of(self, program: Program, name: str, kind: str, port: int) -> str:
+        """A line for each other process of a kind: its own address, and where this one reaches it."""
+        others = [other for item in self.scenario.program if item.name == kind for other in item.names]
+        return "\n".join(
+            '"{}:{}" = "{}:{}"'.format(self._others[other], port, *self._reach(program, name, other, port))
+            for other in others
+            if other != name
+        )
+
     def _told(self, name: str, address: str) -> dict[str, str]:
         """A relay's variables."""
         discovery = "{}:{}".format(*self._links[name, "platform"].address)
@@ -323,13 +355,14 @@
             for path in sorted(member.state.glob(f"{FIGURES}-*.json")):
                 figures = msgspec.json.decode(path.read_bytes(), type=dict[str, float])
                 self.history(records.Measured(self._clock.now(), member.name, figures))
-        decode = msgspec.json.Decoder(Act).decode
         for member in self.fleet.members.values():
-            path = member.state / ACTS
-            if not path.exists():
-                continue
-            for line in path.read_bytes().splitlines():
-                act = decode(line)
+            for seen in lines_of(member.state / TRACE, Seen):
+                at_s = seen.at_s - self._clock.start_s
+                self.history(
+                    records.Viewed(at_s, member.name, seen.generation, seen.name, seen.state, seen.by)
+                )
+        for member in self.fleet.members.values():
+            for act in lines_of(member.state / ACTS, Act):
                 at_s = act.at_s - self._clock.start_s
                 self.history(
                     records.Acted(at_s, act.resource, act.lease, act.holder, act.token, act.admitted)
@@ -421,10 +454,14 @@
             await self.fleet.start(member)
             await self.fleet.until_ready(member, self._answers)
 
-    def _met(self, name: str, others: list[str]) -> Iterable[TcpLink]:
-        """The links between a relay and others; with none named all of its links."""
-        for (caller, where), link in self._links.items():
-            called = where.partition(":")[0]
+    @property
+    def _all_links(self) -> list[TcpLink | UdpLink]:
+        return [*self._links.values(), *self._datagrams]
+
+    def _met(self, name: str, others: list[str]) -> Iterable[TcpLink | UdpLink]:
+        """The links between a process and others; with none named all of its links."""
+        for link in self._all_links:
+            caller, called = link.caller, link.called.partition(":")[0]
             if name not in (caller, called):
                 continue
             other = called if caller == name else caller
@@ -443,7 +480,8 @@
         some = list(self._met(name, fault.to))
         if fault.kind == "reset":
             for link in some:
-                link.reset()
+                if isinstance(link, TcpLink):
+                    link.reset()
             return
         condition = Condition(
             cut=fault.kind == "cut", delay_s=fault.delay_ms / 1000, jitter_s=fault.jitter_ms / 1000,
@@ -534,13 +572,21 @@
             self.platform.stop()
             for endpoint in self.endpoints.values():
                 endpoint.stop()
-        for link in self._links.values():
+        for link in self._all_links:
             link.stop()
         peak_mb = round(peak_memory_mb(os.getpid()), 1)
         self.history(records.Used(self._clock.now(), "lab", round(time.process_time(), 3), peak_mb))
         self.history.close()
 
 
+def lines_of(path: Path, kind: type[T]) -> Iterator[T]:
+    """What a program wrote down in JSON lines; the last one may be torn by its end."""
+    if path.exists():
+        for line in path.read_bytes().splitlines(keepends=True):
+            if line.endswith(b"\n"):
+                yield msgspec.json.decode(line, type=kind)
+
+
 def turned(direction: str) -> Any:
     """A direction from the other end."""
     return {"forward": "back", "back": "forward"}.get(direction, "both")
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -102,13 +102,15 @@
 
     In the configuration's text ``{address}``, ``{number}`` and ``{state}`` stand for the process's own, and
     ``{link:NAME0:PORT}`` for where it reaches another process's port: a link of the lab. A relay's ports are
-    7000 for clients and 7001 for operators.
+    7000 for clients and 7001 for operators. ``{at:NAME0:PORT}`` is a process's own address and port, and
+    ``{reach:NAME:PORT}`` a line of TOML for each other process of that name: that, and where it is reached.
     """
 
     name: str
     module: str
     count: int = 1
     ports: tuple[int, ...] = (7000,)  # where it listens, at its own address; the first tells that it is ready
+    datagrams: bool = False  # whether its links carry datagrams too, at the same addresses
     config: str = ""
 
     @property
@@ -201,11 +203,26 @@
         for name, port in links_of(program.config):
             if port not in ports.get(name, ()):
                 raise ValueError(f"program[{at}].config: {name} has no port {port}")
+        for name, text in AT.findall(program.config):
+            if int(text) not in ports.get(name, ()):
+                raise ValueError(f"program[{at}].config: {name} has no port {text}")
+        for kind, port in reaches_of(program.config):
+            if not any(other.name == kind and port in other.ports for other in scenario.program):
+                raise ValueError(f"program[{at}].config: no {kind} has a port {port}")
 
 
 LINK = re.compile(r"\{link:([a-z]+[0-9]+):([0-9]+)\}")
 
 
+AT = re.compile(r"\{at:([a-z]+[0-9]+):([0-9]+)\}")
+REACH = re.compile(r"\{reach:([a-z]+):([0-9]+)\}")
+
+
+def reaches_of(config: str) -> list[tuple[str, int]]:
+    """The kinds of processes, and their ports, of which a configuration's text lists all others."""
+    return [(kind, int(port)) for kind, port in REACH.findall(config)]
+
+
 def links_of(config: str) -> list[tuple[str, int]]:
     """The processes and ports that a configuration's text names."""
     return [(name, int(port)) for name, port in LINK.findall(config)]
--- a/mallowpeers/__main__.py
+++ b/mallowpeers/__main__.py
@@ -17,6 +17,7 @@
 from mallowpeers.generation import GenerationError, next_generation
 from mallowpeers.pages import View, pages
 from mallowpeers.shell import Shell
+from mallowpeers.trace import TRACE, traced
 
 LOG = logging.getLogger("mallowpeers")
 USAGE = "usage: python -m mallowpeers CONFIG | view CONFIG"
@@ -29,7 +30,9 @@
     loop, over = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
-    shell = Shell(config, next_generation(Path(config.folder), time.time_ns() // 1_000_000))
+    folder = Path(config.folder)
+    generation = next_generation(folder, time.time_ns() // 1_000_000)
+    shell = Shell(config, generation, traced(folder / TRACE, generation) if config.trace else lambda _: None)
     await shell.start()
     served = Pages(pages(shell))
     if config.operators:
@@ -68,7 +71,8 @@
 def told(view: View) -> str:
     """A view in lines."""
     head = (
-        f"{view.name}, life {view.generation}: {view.living} living, digest {view.digest}, late {view.late}"
+        f"{view.name}, life {view.generation}: {view.living} living, digest {view.digest}, {view.standing} "
+        f"of {view.settled}, late {view.late}"
     )
     lines = [
         f"{item.name:16} {item.state:8} {item.address:22} {item.zone or '-':12} life {item.generation}, "
--- a/mallowpeers/config.py
+++ b/mallowpeers/config.py
@@ -37,6 +37,8 @@
     seeds: list[str] = []  # addresses at which others may be found
     zone: str = ""
     operators: str = ""  # where operators read pages by HTTP; empty: nowhere
+    reach: dict[str, str] = {}  # a member's address as it tells it: where that is reached from here
+    trace: bool = False  # whether each change of the view is written to the folder, for a proving ground
     times: Times = Times()
 
     @property
@@ -72,6 +74,9 @@
     address_of("listen", config.listen)
     for text in config.seeds:
         address_of("seeds", text)
+    for told, reached in config.reach.items():
+        address_of("reach", told)
+        address_of(f"reach.{told}", reached)
     if config.operators:
         address_of("operators", config.operators)
     times = config.times
--- a/mallowpeers/pages.py
+++ b/mallowpeers/pages.py
@@ -38,6 +38,9 @@
     generation: int
     digest: str
     living: int
+    standing: str  # where this member stands in the last settled fleet
+    settled: int  # members of that
+    share_of: float  # relays that a limit is shared among, by this member
     late: int  # steps by which this member waits longer, by its own judgement
     members: list[Line]
 
@@ -52,7 +55,11 @@
         )
         for update in shell.view()
     ]  # fmt: skip
-    return View(me.name, me.generation, digest(shell.view()), shell.living, shell.peers.health, lines)
+    fleet = shell.stands()
+    return View(
+        me.name, me.generation, digest(shell.view()), shell.living, fleet.standing.value, len(fleet.settled),
+        round(fleet.size(now_us), 2), shell.peers.health, lines,
+    )  # fmt: skip
 
 
 def metrics(shell: Shell) -> bytes:
--- a/mallowpeers/shell.py
+++ b/mallowpeers/shell.py
@@ -16,6 +16,7 @@
 from mallowpeers.config import Address, Config, address_of
 from mallowpeers.core import LIVE, Peers
 from mallowpeers.messages import Changed, Exchange, Message, Out, Replaced, Say, State, Update
+from mallowpeers.standing import Fleet
 
 LOG = logging.getLogger("mallowpeers")
 MOST_SENDERS = 4096  # whose rates are known
@@ -90,6 +91,7 @@
         self._callers: set[asyncio.StreamWriter] = set()
         self.history: deque[Happened] = deque(maxlen=MOST_HISTORY)
         self.counts: Counter[str] = Counter()
+        self._standing = Fleet(config.name, self.now_us())
         self.replaced: asyncio.Future[Update] = self._loop.create_future()  # by a later life of the same name
 
     @staticmethod
@@ -157,17 +159,21 @@
             Happened(time.time(), update.name, update.generation, update.state.name.lower(), was, update.by)
         )
         by = f" by the word of {update.by}" if update.by else ""
+        self.stands()
         LOG.info("%s is %s%s, was %s", update.name, update.state.name.lower(), by, was or "unknown")
         self._changed(change)
 
+    def _reached(self, told: str) -> Address:
+        """Where a member's address is reached from here."""
+        return address_of("address", self._config.reach.get(told, told))
+
     # Datagrams
 
     def _send(self, to: str, message: Message) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         try:
-            address = address_of("address", to)
-            self._transport.sendto(wire.encode(self._fleet, message), address)
+            self._transport.sendto(wire.encode(self._fleet, message), self._reached(to))
             self.counts["datagrams_sent"] += 1
         except (OSError, ValueError) as error:
             self.counts["datagrams_not_sent"] += 1
@@ -207,7 +213,7 @@
         data = wire.encode(self._fleet, message)
         try:
             async with asyncio.timeout(CALL_S):
-                _, writer = await asyncio.open_connection(*address_of("address", to))
+                _, writer = await asyncio.open_connection(*self._reached(to))
                 try:
                     writer.write(wire.LENGTH.pack(len(data)) + data)
                     await writer.drain()
@@ -245,6 +251,11 @@
         """Everybody that is held, by name."""
         return sorted((held.update for held in self.peers.held.values()), key=lambda update: update.name)
 
+    def stands(self) -> Fleet:
+        """Where this member stands in its fleet now."""
+        self._standing.look(self.now_us(), self.view(), self.peers.health)
+        return self._standing
+
     @property
     def living(self) -> int:
         """Members that are alive or suspect, this one included."""
--- /dev/null
+++ b/mallowpeers/trace.py
@@ -0,0 +1,35 @@
+"""Each change of a member's view, written down for a proving ground."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from mallowpeers.messages import Changed
+
+TRACE = "views.jsonl"
+
+
+class Seen(msgspec.Struct, frozen=True):
+    """A change of a view as it is written down; all processes of a machine share the clock."""
+
+    at_s: float
+    generation: int  # of the member that holds it
+    name: str
+    state: str
+    by: str
+
+
+def traced(path: Path, generation: int) -> Callable[[Changed], None]:
+    """Write each change of the view behind the others."""
+    file = path.open("ab", buffering=0)
+
+    def changed(change: Changed) -> None:
+        update = change.update
+        seen = Seen(time.monotonic(), generation, update.name, update.state.name.lower(), update.by)
+        file.write(msgspec.json.encode(seen) + b"\n")
+
+    return changed
--- a/standins/records.py
+++ b/standins/records.py
@@ -186,6 +186,16 @@
     admitted: bool
 
 
+class Viewed(Record, frozen=True, tag="viewed"):
+    """What a member holds of another has changed, by its own record."""
+
+    member: str
+    life: int  # of the member's lives, by its own number
+    name: str
+    state: str  # alive, suspect, failed, left
+    by: str = ""
+
+
 class Measured(Record, frozen=True, tag="measured"):
     """What a program of the run has measured by itself, by the name of the figure and with its unit in it."""
 
@@ -215,7 +225,7 @@
 
 AnyRecord = (
     Head | Handed | Heard | Unsent | Call | Ran | Reply | Opened | Gone | Probed | Told | Changed | Noticed
-    | Partner | Fault | Acted | Measured | Process | Phase | Lag | Used
+    | Partner | Fault | Acted | Viewed | Measured | Process | Phase | Lag | Used
 )  # fmt: skip
 Sink = Callable[[AnyRecord], None]
 _ENCODER, _DECODER = msgspec.json.Encoder(), msgspec.json.Decoder(AnyRecord)
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -211,12 +211,35 @@
     ]
 
 
+def member(some: list[records.AnyRecord], name: str, *holds: str) -> None:
+    """A member that has been up for long and holds these as alive."""
+    some += [records.Process(-40.0, name, 1, event) for event in ("start", "ready")]
+    some += [records.Viewed(-39.0, name, 1, other, "alive") for other in holds]
+
+
+def disagree(some: list[records.AnyRecord]) -> None:
+    member(some, "p0", "p1")
+    member(some, "p1")
+
+
+def declare_failed(some: list[records.AnyRecord]) -> None:
+    """And find together again, so that the views agree in the end."""
+    member(some, "p0", "p1")
+    member(some, "p1", "p0")
+    some += [
+        records.Viewed(2.0, "p0", 1, "p1", "suspect", "p0"),
+        records.Viewed(3.0, "p0", 1, "p1", "failed", "p0"),
+        records.Viewed(4.0, "p0", 1, "p1", "alive"),
+    ]
+
+
 def act_late(some: list[records.AnyRecord]) -> None:
     for t, holder, token in ((1.0, "h0", 1), (2.0, "h1", 2), (2.1, "h0", 1)):
         some.append(records.Acted(t, "unfenced", "sweep", holder, token, True))
 
 
 SPOILT: dict[str, Callable[[list[records.AnyRecord]], None]] = {
+    "views_agree": disagree, "no_false_failure": declare_failed,
     "one_actor": act_late, "ready_soon": come_up_late, "untried_kept": give_up_untried,
     "ended_once": lose, "in_time": end_late, "no_repeat": repeat, "effect_once": run_twice,
     "one_out": overlap, "none_out_past_end": end_while_out,
