--- a/fleetlab/crowd.py
+++ b/fleetlab/crowd.py
@@ -19,9 +19,9 @@
 
 from fleetlab.program import PORT, main
 from mallowquorum.client import Client, QuorumError
-from mallowquorum.config import address_of
 from mallowquorum.machine import Done
 from mallowquorum.monotonic import now_us
+from mallowtoml import address_of
 
 FIGURES = "figures"
 ASK_S = 5.0
--- a/mallowpeers/__main__.py
+++ b/mallowpeers/__main__.py
@@ -13,11 +13,12 @@
 import msgspec
 
 from mallowpages import Pages
-from mallowpeers.config import Config, ConfigError, address_of, load
+from mallowpeers.config import Config, load
 from mallowpeers.generation import GenerationError, next_generation
 from mallowpeers.pages import View, pages
 from mallowpeers.shell import Shell
 from mallowpeers.trace import TRACE, traced
+from mallowtoml import ConfigError, address_of
 
 LOG = logging.getLogger("mallowpeers")
 USAGE = "usage: python -m mallowpeers CONFIG | view CONFIG"
@@ -36,7 +37,7 @@
     await shell.start()
     served = Pages(pages(shell))
     if config.operators:
-        await served.start(*address_of("operators", config.operators))
+        await served.start(*address_of(config.operators))
     LOG.info("%s, life %d, at %s", config.name, shell.peers.me.generation, config.listen)
     ended = loop.create_task(over.wait())
     either: set[asyncio.Future[Any]] = {ended, shell.replaced}
@@ -57,7 +58,7 @@
     """The view of the member that a configuration describes; ``OSError`` where nobody answers there."""
     if not config.operators:
         raise ConfigError("operators: the member has no such address")
-    host, port = address_of("operators", config.operators)
+    host, port = address_of(config.operators)
     async with asyncio.timeout(CALL_S):
         reader, writer = await asyncio.open_connection(host, port)
         try:
--- a/mallowpeers/config.py
+++ b/mallowpeers/config.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 
 from mallowpeers.core import Settings
+from mallowtoml import ConfigError, check_address, read
 
-Address = tuple[str, int]
 MOST_NAME, MOST_SEEDS = 64, 64
 
 
-class ConfigError(ValueError):
-    """The configuration cannot be used."""
-
-
 class Times(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Milliseconds on the member's own monotonic clock; the same at all members."""
 
@@ -54,14 +49,6 @@
         )
 
 
-def address_of(key: str, text: str) -> Address:
-    """``host:port``; ``ConfigError`` with the key where it is none."""
-    host, sign, port = text.rpartition(":")
-    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{key}: not an address: {text!r}")
-    return host, int(port)
-
-
 def check(config: Config) -> None:
     """What types alone do not tell; ``ConfigError`` begins with the key."""
     for key in ("name", "fleet", "folder"):
@@ -71,14 +58,14 @@
         raise ConfigError(f"zone: {MOST_NAME} characters at most")
     if len(config.seeds) > MOST_SEEDS:
         raise ConfigError(f"seeds: there are {len(config.seeds)}, and may be {MOST_SEEDS}")
-    address_of("listen", config.listen)
+    check_address("listen", config.listen)
     for text in config.seeds:
-        address_of("seeds", text)
+        check_address("seeds", text)
     for told, reached in config.reach.items():
-        address_of("reach", told)
-        address_of(f"reach.{told}", reached)
+        check_address("reach", told)
+        check_address(f"reach.{told}", reached)
     if config.operators:
-        address_of("operators", config.operators)
+        check_address("operators", config.operators)
     times = config.times
     if not 0 < 2 * times.ack_ms <= times.period_ms:
         raise ConfigError("times.ack_ms: above 0, and at most half of period_ms")
@@ -89,14 +76,4 @@
 
 def load(path: Path) -> Config:
     """A member's configuration file; ``ConfigError`` names file and key."""
-    try:
-        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Config)
-        check(config)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except msgspec.ValidationError as error:
-        reason, _, key = str(error).partition(" - at `$.")
-        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, ConfigError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    return config
+    return read(path, Config, check)
--- a/mallowpeers/shell.py
+++ b/mallowpeers/shell.py
@@ -13,10 +13,11 @@
 from typing import Any
 
 from mallowpeers import wire
-from mallowpeers.config import Address, Config, address_of
+from mallowpeers.config import Config
 from mallowpeers.core import LIVE, Peers
 from mallowpeers.messages import Changed, Exchange, Message, Out, Replaced, Say, State, Update
 from mallowpeers.standing import Fleet
+from mallowtoml import Address, address_of
 
 LOG = logging.getLogger("mallowpeers")
 MOST_SENDERS = 4096  # whose rates are known
@@ -101,7 +102,7 @@
 
     async def start(self) -> None:
         """Listen for datagrams and connections; ``OSError`` where the address cannot be had."""
-        host, port = address_of("listen", self._config.listen)
+        host, port = address_of(self._config.listen)
         self._server = await asyncio.start_server(self._connected, host, port)
         try:
             self._transport, _ = await self._loop.create_datagram_endpoint(
@@ -165,7 +166,7 @@
 
     def _reached(self, told: str) -> Address:
         """Where a member's address is reached from here."""
-        return address_of("address", self._config.reach.get(told, told))
+        return address_of(self._config.reach.get(told, told))
 
     # Datagrams
 
--- a/mallowquorum/__main__.py
+++ b/mallowquorum/__main__.py
@@ -16,12 +16,13 @@
 from mallowquorum import wire
 from mallowquorum.client import QuorumError, call, leader_of, order, status
 from mallowquorum.commands import ended_by_signal, play
-from mallowquorum.config import Address, ConfigError, address_of, load
+from mallowquorum.config import load
 from mallowquorum.logs import log_lines
 from mallowquorum.machine import restored
 from mallowquorum.messages import Snapshot
 from mallowquorum.server import Server
 from mallowquorum.store import StoreError, replace_file, restore
+from mallowtoml import Address, ConfigError, address_of
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 ConfigFile = Annotated[Path, typer.Argument(metavar="CONFIG", help="The TOML file of any member.")]
--- a/mallowquorum/client.py
+++ b/mallowquorum/client.py
@@ -12,7 +12,6 @@
 from random import Random
 
 from mallowquorum import wire
-from mallowquorum.config import Address
 from mallowquorum.holder import Asking, Bounds, Holding
 from mallowquorum.machine import (
     NO_SESSION,
@@ -30,6 +29,7 @@
 from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
 from mallowquorum.monotonic import now_us
 from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
+from mallowtoml import Address
 
 TRY_S, MOST_TRY_S = 0.5, 4.0  # s for a first try, beside what the request itself may wait, and for later ones
 CONNECT_S = 0.5
--- a/mallowquorum/config.py
+++ b/mallowquorum/config.py
@@ -2,20 +2,13 @@
 
 from __future__ import annotations
 
-import tomllib
-from collections.abc import Callable
 from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 
-Address = tuple[str, int]
-T = TypeVar("T")
-MOST_MEMBERS, MOST_RESERVE_KB = 9, 1024 * 1024
-
+from mallowtoml import Address, ConfigError, address_of, check_address, read
 
-class ConfigError(ValueError):
-    """The configuration cannot be used."""
+MOST_MEMBERS, MOST_RESERVE_KB = 9, 1024 * 1024
 
 
 class Times(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -54,14 +47,6 @@
         return {name: address_of(text) for name, text in self.members.items() if name != self.name}
 
 
-def address_of(text: str) -> Address:
-    """``host:port``; ``ConfigError`` where it is none."""
-    host, sign, port = text.rpartition(":")
-    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"not an address: {text!r}")
-    return host, int(port)
-
-
 def check(config: Config) -> None:
     """What types alone do not tell; ``ConfigError`` begins with the key."""
     if config.name not in config.members:
@@ -85,29 +70,6 @@
         check_address(key, text)
 
 
-def check_address(key: str, text: str) -> None:
-    """``ConfigError`` with the key where a text is no address."""
-    try:
-        address_of(text)
-    except ConfigError as error:
-        raise ConfigError(f"{key}: {error}") from None
-
-
-def read(path: Path, kind: type[T], check: Callable[[T], None]) -> T:
-    """A TOML file of a service's options; ``ConfigError`` names file and key."""
-    try:
-        config = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), kind)
-        check(config)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except msgspec.ValidationError as error:
-        reason, _, key = str(error).partition(" - at `$.")
-        raise ConfigError(f"{path}: {key.strip('`') + ': ' if key else ''}{reason}") from None
-    except (tomllib.TOMLDecodeError, ConfigError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    return config
-
-
 def load(path: Path) -> Config:
     """A member's configuration file; ``ConfigError`` names file and key."""
     return read(path, Config, check)
--- a/mallowquorum/server.py
+++ b/mallowquorum/server.py
@@ -18,7 +18,7 @@
 
 from mallowpages import JSON, METRICS, Page, Pages
 from mallowquorum import wire
-from mallowquorum.config import Address, Config, address_of
+from mallowquorum.config import Config
 from mallowquorum.figures import Figures
 from mallowquorum.lives import Claim, Lives
 from mallowquorum.machine import Done, Refused
@@ -38,6 +38,7 @@
     WireError,
     frame,
 )
+from mallowtoml import Address, address_of
 
 LOG = structlog.get_logger("mallowquorum")
 MOST_QUEUED = 512  # messages to a member that does not take them; the oldest goes, as any may be lost
--- a/mallowquorum/tasks.py
+++ b/mallowquorum/tasks.py
@@ -17,10 +17,10 @@
 import structlog
 
 from mallowquorum.client import Client, Keeper, QuorumError
-from mallowquorum.config import Address
 from mallowquorum.holder import Bounds
 from mallowquorum.machine import Done
 from mallowquorum.monotonic import now_us
+from mallowtoml import Address
 
 LOG = structlog.get_logger("mallowquorum.tasks")
 ASK_S = 5.0  # s for an answer of the quorum, before it is tried anew with another session
--- a/mallowsweep/__main__.py
+++ b/mallowsweep/__main__.py
@@ -12,10 +12,10 @@
 
 from mallowquorum.client import Client
 from mallowquorum.commands import ended_by_signal, play
-from mallowquorum.config import ConfigError
 from mallowquorum.logs import log_lines
 from mallowsweep.config import Config, load
 from mallowsweep.sweeper import Sweeper, shown, summaries_of, tasks_of
+from mallowtoml import ConfigError
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
--- a/mallowsweep/sweeper.py
+++ b/mallowsweep/sweeper.py
@@ -12,7 +12,6 @@
 
 from mallowpages import JSON, METRICS, Page, Pages
 from mallowquorum.client import Client, QuorumError
-from mallowquorum.config import Address, address_of
 from mallowquorum.tasks import Runner, Step, Terms
 from mallowsweep.config import Config
 from mallowsweep.summary import (
@@ -27,6 +26,7 @@
     slices_of,
     totals,
 )
+from mallowtoml import Address, address_of
 
 TASK = "sweep"
 STEP_S = 1.0  # s of reading between two writes of the summary
--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -19,6 +19,7 @@
 from mallowpeers.generation import GenerationError, next_generation
 from mallowpeers.messages import Gossip, Ping, State, Update
 from mallowpeers.shell import Rates
+from mallowtoml import ConfigError
 from standins.scripted import ROOT
 from tests.peers.members import PORT, Members, states
 
@@ -196,7 +197,7 @@
     assert str(path) in ended.stderr
     assert word in ended.stderr
     assert ended.stderr.count("\n") == 1
-    with pytest.raises(config.ConfigError):
+    with pytest.raises(ConfigError):
         config.load(path)
 
 
--- a/tests/quorum/servers.py
+++ b/tests/quorum/servers.py
@@ -16,9 +16,10 @@
 
 from mallowquorum import store
 from mallowquorum.client import Client, QuorumError, leader_of, status
-from mallowquorum.config import Address, Config, Times
+from mallowquorum.config import Config, Times
 from mallowquorum.server import Server
 from mallowquorum.wire import Health
+from mallowtoml import Address
 
 TIMES = Times(least_election_ms=150, most_election_ms=300, heartbeat_ms=40)
 
--- a/tests/quorum/test_tasks.py
+++ b/tests/quorum/test_tasks.py
@@ -13,7 +13,6 @@
 
 import pytest
 
-from mallowquorum.config import ConfigError
 from mallowquorum.machine import MOST_VALUE
 from mallowquorum.monotonic import now_us
 from mallowquorum.tasks import MOST_ERRORS, Runner, Step, Terms
@@ -21,6 +20,7 @@
 from mallowsweep.config import load
 from mallowsweep.summary import FiguresError, Summary, figures_of, following, noted, totals
 from mallowsweep.sweeper import shown, summaries_of, tasks_of
+from mallowtoml import ConfigError
 from standins.scripted import ROOT
 from tests.quorum.servers import Quorum, quorum, until
 
