Judge agreement of views from the last fault on members alone

Cause: where no fault met a member, `views_agree` counted its quiet from the start of the load, so that a short run was never judged: the spoilt history of 9 s was not found. Starts and ends of members and faults on them count, nothing else.

--- a/fleetlab/checks.py
+++ b/fleetlab/checks.py
@@ -691,9 +691,9 @@
     Nothing is said where a fault on a member, or the start or end of one, came in the run's last seconds.
     """
     names = set(members_of(run))
-    disturbed_s = [0.0, *(t for name in names for life in run.lives[name] for t in (life.start, life.end))]
+    disturbed_s = [t for name in names for life in run.lives[name] for t in (life.start, life.end)]
     disturbed_s += [span.until for span in run.spans if span.on in names]
-    if run.over - max((t for t in disturbed_s if t < run.over), default=0.0) < SETTLED_S:
+    if run.over - max((t for t in disturbed_s if t < run.over), default=run.over) < SETTLED_S:
         return []
     if any(span.on in names and span.until >= run.over for span in run.spans):
         return []
