End a client's connection that its peer has reset, unseen yet, without breaking off

Cause: `Client._part` ends the sending, and the system refuses that on a connection that its peer has reset and of which the loop has not told yet. The error left `joined` before the rest was done, and a traceback for each in the log.

Change: that error says nothing new; the reset itself ends the connection in the next turn. Test with real connections, the reset sent and the end called within one turn, by end and by making room: both fail without the change (errno 107).

--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -9,6 +9,7 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import Any
 
 from mallowlug import resp
@@ -203,7 +204,8 @@
         self._count(0)
         self._server.parts(self)
         self._transport.write(line)
-        self._transport.write_eof()
+        with suppress(OSError):  # its peer has reset it, and the loop has not told so yet
+            self._transport.write_eof()
         self._transport.resume_reading()
         self._last_s = loop.time() + FLOOD_S
         self._timer = loop.call_later(LINGER_S, self._linger)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -139,6 +140,25 @@
         await gone(server)
 
 
+@pytest.mark.parametrize("how", ["end", "give_way"])
+async def test_a_connection_that_its_peer_has_reset_unseen_is_ended_without_a_word(
+    server: clients.Server, how: str
+) -> None:
+    """Its sending cannot be ended any more: that must not break off what else was to be done."""
+    loop, errors = asyncio.get_running_loop(), list[object]()
+    loop.set_exception_handler(lambda _loop, context: errors.append(context))
+    async with accepted(server) as (client, peer):
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()  # a reset, and the loop had no turn to read it
+        if how == "end":
+            client._turn(0)
+        else:
+            client.give_way()
+        assert client in server.parting
+        await gone(server)
+    assert errors == []
+
+
 async def test_what_is_read_behind_the_end_of_sending_is_not_taken_on(
     server: clients.Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
