--- a/mallowpeers/pages.py
+++ b/mallowpeers/pages.py
@@ -69,12 +69,11 @@
     return "".join(f"{line}\n" for line in lines).encode()
 
 
-def pages(shell: Shell, now_us: int | None = None) -> dict[str, Serve]:
+def pages(shell: Shell) -> dict[str, Serve]:
     """The pages by path."""
 
     def view() -> Page:
-        at_us = shell.now_us() if now_us is None else now_us
-        return Page(200, msgspec.json.encode(view_of(shell, at_us)) + b"\n", JSON)
+        return Page(200, msgspec.json.encode(view_of(shell, shell.now_us())) + b"\n", JSON)
 
     def history() -> Page:
         return Page(200, b"".join(msgspec.json.encode(item) + b"\n" for item in shell.history), JSON)
