Open a client's connection in one place in its tests

The flood behind a broken frame set up its server by the lines that `parted` already had; both call `connected` now. All assertions are as they were.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -22,11 +22,17 @@
 BROKEN = b"nonsense\r\n"
 
 
-async def parted(server: clients.Server) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """A connection on which a broken frame was answered and the server has ended its sending."""
+async def connected(server: clients.Server) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection to the server."""
     listener = await asyncio.get_running_loop().create_server(lambda: clients.Client(server), "127.0.0.1")
     reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
     listener.close()
+    return reader, writer
+
+
+async def parted(server: clients.Server) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection on which a broken frame was answered and the server has ended its sending."""
+    reader, writer = await connected(server)
     writer.write(BROKEN)
     assert (await soon(reader.read())).startswith(b"-ERR")
     return reader, writer
@@ -70,8 +76,7 @@
     """A peer that sends all it has before it reads gets its line, however long that takes within bounds."""
     monkeypatch.setattr(clients, "LINGER_S", 0.1)
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(lambda: clients.Client(server), "127.0.0.1")
-    reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+    reader, writer = await connected(server)
     until_s = loop.time() + 10 * clients.LINGER_S
     writer.write(BROKEN)
     while loop.time() < until_s:
@@ -81,7 +86,6 @@
     assert (await soon(reader.read())).startswith(b"-ERR"), "and the end behind it, with no reset"
     writer.close()
     await gone(server)
-    listener.close()
 
 
 async def test_a_flood_without_end_is_cut_off(
