--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -16,8 +16,28 @@
 from itertools import islice
 
 from mossfront.interface import (
-    Action, Arrival, Ban, Cancel, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, MessageClass, Outcome,
-    Refuse, Roster, RosterKind, Send, Settings, Subscribe, Verdict, Wake, Withdrawn,
+    Action,
+    Arrival,
+    Ban,
+    Cancel,
+    CloseIdle,
+    Effect,
+    Event,
+    Fail,
+    Kind,
+    Listing,
+    Log,
+    MessageClass,
+    Outcome,
+    Refuse,
+    Roster,
+    RosterKind,
+    Send,
+    Settings,
+    Subscribe,
+    Verdict,
+    Wake,
+    Withdrawn,
 )
 from mossfront.lanes import Lane, Ranked
 from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
@@ -246,7 +266,7 @@
             if limit.rate:
                 rate = min(max(rate, limit.rate / LEAP), limit.rate * LEAP)
             if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
-                limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
+                limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size**0.5), self.now
             elif self.many:
                 if rate < LOWERED * limit.rate:  # the pace may lie far above what it was used for
                     limit.pace = min(limit.pace, self._own(limit))
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -374,11 +374,15 @@
             more["ROUTER_ADMIN"] = f"{self.address}:{self.admin_port}"
         if self.passed is not None:
             more["ROUTER_PASSED_SOCKET"] = str(self.passed.fileno())
-        return os.environ | more | {
-            "ROUTER_CONFIG": str(path),
-            "ROUTER_DISCOVERY": f"127.0.0.1:{self.directory.port}",
-            "ROUTER_STATE": str(self.state),
-        }
+        return (
+            os.environ
+            | more
+            | {
+                "ROUTER_CONFIG": str(path),
+                "ROUTER_DISCOVERY": f"127.0.0.1:{self.directory.port}",
+                "ROUTER_STATE": str(self.state),
+            }
+        )
 
     async def run(self) -> Client:
         """Start the relay's process; a client once it answers."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -35,8 +35,9 @@
 
 def steady(gap_us: int, cls: api.MessageClass = SAFE, dests: tuple[int, ...] = (1,)) -> Feed:
     """A message for each destination every so often."""
-    return lambda now_us: [arrival(f"{cls.name}{dest}-{now_us}", cls, dest) for dest in dests
-                           if now_us % gap_us == 0]
+    return lambda now_us: [
+        arrival(f"{cls.name}{dest}-{now_us}", cls, dest) for dest in dests if now_us % gap_us == 0
+    ]
 
 
 def test_a_limit_far_under_the_told_rate_is_not_hammered() -> None:
