Name the fleet's packages by what they do

Need: mallowpeers, mallowquorum, mallowsweep, mallowtoml and mallowpages told a newcomer nothing. One test replaced the module's name in a text where the same word now stands twice; it names the whole line. mossfront and mallowlug keep their names, which the users' design page uses. Measured: ruff and mypy clean.

--- a/fleetlab/crowd.py
+++ b/fleetlab/crowd.py
@@ -18,10 +18,10 @@
 from hdrh.histogram import HdrHistogram
 
 from fleetlab.program import PORT, main
-from mallowquorum.client import Client, QuorumError
-from mallowquorum.machine import Done
-from mallowquorum.monotonic import now_us
-from mallowtoml import address_of
+from quorum.client import Client, QuorumError
+from quorum.machine import Done
+from quorum.monotonic import now_us
+from tomlconfig import address_of
 
 FIGURES = "figures"
 ASK_S = 5.0
--- a/fleetlab/holding.py
+++ b/fleetlab/holding.py
@@ -15,8 +15,8 @@
 
 from fleetlab.program import PORT, main
 from fleetlab.resource import Act
-from mallowquorum.client import Client, Keeper, QuorumError
-from mallowtoml import Address, address_of
+from quorum.client import Client, Keeper, QuorumError
+from tomlconfig import Address, address_of
 
 ACT_S = 0.02  # s between acts
 ANSWER_S = 1.0
--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -37,7 +37,7 @@
 )
 from fleetlab.schedule import Planned, numbered, what
 from fleetlab.settings import settings
-from mallowpeers.trace import TRACE, Seen
+from membership.trace import TRACE, Seen
 from standins import clients, records
 from standins.partner import Clock, Endpoint, Site
 from standins.platform import Entry, Platform
--- a/fleetlab/resource.py
+++ b/fleetlab/resource.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from fleetlab.program import PORT, main
-from mallowquorum.holder import Fence
+from quorum.holder import Fence
 
 MOST_LINE = 4096
 ACTS = "acts.jsonl"
--- a/fleetlab/sim/peers.py
+++ b/fleetlab/sim/members.py
@@ -15,8 +15,8 @@
 from random import Random
 
 from fleetlab.sim.world import Network, SimClock, Weather, World
-from mallowpeers.core import SECOND, Peers, Settings
-from mallowpeers.messages import Changed, Exchange, Message, Out, Say, State, Update
+from membership.core import SECOND, Peers, Settings
+from membership.messages import Changed, Exchange, Message, Out, Say, State, Update
 
 DRIFT = 0.005
 
--- a/fleetlab/sim/model.py
+++ b/fleetlab/sim/model.py
@@ -23,9 +23,9 @@
 from msgspec.structs import replace
 
 from fleetlab.sim.quorum import BrokenError, Parts
-from mallowquorum.clocks import Clocks
-from mallowquorum.holder import Bounds, Holding
-from mallowquorum.machine import (
+from quorum.clocks import Clocks
+from quorum.holder import Bounds, Holding
+from quorum.machine import (
     Acquire,
     Answer,
     Command,
--- a/fleetlab/sim/quorum.py
+++ b/fleetlab/sim/quorum.py
@@ -30,10 +30,10 @@
 from fleetlab.scenario import Kind, Scenario
 from fleetlab.sim.linear import FOREVER, Operation, linearizable
 from fleetlab.sim.world import Network, SimClock, SimDisk, Weather, World
-from mallowquorum.clocks import Clocks
-from mallowquorum.holder import Asking, Bounds, Fence, Holding
-from mallowquorum.lives import Claim, Life, Lives
-from mallowquorum.machine import (
+from quorum.clocks import Clocks
+from quorum.holder import Asking, Bounds, Fence, Holding
+from quorum.lives import Claim, Life, Lives
+from quorum.machine import (
     Acquire,
     Done,
     Machine,
@@ -44,7 +44,7 @@
     Renew,
     grows,
 )
-from mallowquorum.member import (
+from quorum.member import (
     Elsewhere,
     Member,
     NoRoom,
@@ -58,9 +58,9 @@
     Wait,
     Watch,
 )
-from mallowquorum.messages import Committed, Message, Persist, Send
-from mallowquorum.raft import Raft, Role, Timing
-from mallowquorum.store import Folded
+from quorum.messages import Committed, Message, Persist, Send
+from quorum.raft import Raft, Role, Timing
+from quorum.store import Folded
 from standins import records
 
 SECOND = 1_000_000
--- a/mallowpeers/__main__.py
+++ b/membership/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m mallowpeers CONFIG`` runs a member; ``... view CONFIG`` tells what it holds."""
+"""``python -m membership CONFIG`` runs a member; ``... view CONFIG`` tells what it holds."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 
 import msgspec
 
-from mallowpages import Pages
-from mallowpeers.config import Config, load
-from mallowpeers.generation import GenerationError, next_generation
-from mallowpeers.pages import View, pages
-from mallowpeers.shell import Shell
-from mallowpeers.trace import TRACE, traced
-from mallowtoml import ConfigError, address_of
+from membership.config import Config, load
+from membership.generation import GenerationError, next_generation
+from membership.pages import View, pages
+from membership.shell import Shell
+from membership.trace import TRACE, traced
+from operatorpages import Pages
+from tomlconfig import ConfigError, address_of
 
-LOG = logging.getLogger("mallowpeers")
-USAGE = "usage: python -m mallowpeers CONFIG | view CONFIG"
+LOG = logging.getLogger("membership")
+USAGE = "usage: python -m membership CONFIG | view CONFIG"
 REPLACED, WRONG = 3, 2  # exit codes: a later life goes under this name; the configuration or its use
 CALL_S = 2.0  # s for a page
 
--- a/mallowpeers/config.py
+++ b/membership/config.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from mallowpeers.core import Settings
-from mallowtoml import ConfigError, check_address, read
+from membership.core import Settings
+from tomlconfig import ConfigError, check_address, read
 
 MOST_NAME, MOST_SEEDS = 64, 64
 
--- a/mallowpeers/core.py
+++ b/membership/core.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from mallowpeers.messages import (
+from membership.messages import (
     Ack,
     AskFor,
     Changed,
@@ -32,7 +32,7 @@
     State,
     Update,
 )
-from mallowpeers.roll import Roll
+from membership.roll import Roll
 
 SECOND = 1_000_000
 MOST_MEMBERS = 4096
--- a/mallowpeers/pages.py
+++ b/membership/pages.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from mallowpages import JSON, METRICS, Page, Serve
-from mallowpeers.core import LIVE
-from mallowpeers.messages import State, Update
-from mallowpeers.shell import Shell
+from membership.core import LIVE
+from membership.messages import State, Update
+from membership.shell import Shell
+from operatorpages import JSON, METRICS, Page, Serve
 
 
 def digest(view: Iterable[Update]) -> str:
--- a/mallowpeers/shell.py
+++ b/membership/shell.py
@@ -12,14 +12,14 @@
 from random import Random
 from typing import Any
 
-from mallowpeers import wire
-from mallowpeers.config import Config
-from mallowpeers.core import LIVE, Peers
-from mallowpeers.messages import Changed, Exchange, Message, Out, Replaced, Say, State, Update
-from mallowpeers.standing import Fleet
-from mallowtoml import Address, address_of
-
-LOG = logging.getLogger("mallowpeers")
+from membership import wire
+from membership.config import Config
+from membership.core import LIVE, Peers
+from membership.messages import Changed, Exchange, Message, Out, Replaced, Say, State, Update
+from membership.standing import Fleet
+from tomlconfig import Address, address_of
+
+LOG = logging.getLogger("membership")
 MOST_SENDERS = 4096  # whose rates are known
 RATE_PER_S, BURST = 200.0, 400.0  # datagrams of one sender
 MOST_CALLS, MOST_CALLERS = 8, 64  # exchanges that go out, and that come in, at once
--- a/mallowpeers/standing.py
+++ b/membership/standing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mallowpeers.messages import State, Update
+from membership.messages import State, Update
 
 SETTLE_US = 10_000_000  # without any change, after which a view is the fleet
 STEP_US, STEP = (
--- a/mallowpeers/trace.py
+++ b/membership/trace.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mallowpeers.messages import Changed
+from membership.messages import Changed
 
 TRACE = "views.jsonl"
 
--- a/mallowpeers/wire.py
+++ b/membership/wire.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from mallowpeers.messages import Exchange, Message
+from membership.messages import Exchange, Message
 
 MOST_DATAGRAM = 1_400  # bytes
 MOST_FRAME = 1 << 20  # bytes of a whole exchange
--- a/mallowquorum/__main__.py
+++ b/quorum/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m mallowquorum CONFIG`` runs a member; ``... COMMAND CONFIG`` is for operators."""
+"""``python -m quorum CONFIG`` runs a member; ``... COMMAND CONFIG`` is for operators."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 import structlog
 import typer
 
-from mallowquorum import wire
-from mallowquorum.client import QuorumError, call, leader_of, order, status
-from mallowquorum.commands import ended_by_signal, play
-from mallowquorum.config import load
-from mallowquorum.logs import log_lines
-from mallowquorum.machine import restored
-from mallowquorum.messages import Snapshot
-from mallowquorum.server import Server
-from mallowquorum.store import StoreError, replace_file, restore
-from mallowtoml import Address, ConfigError, address_of
+from quorum import wire
+from quorum.client import QuorumError, call, leader_of, order, status
+from quorum.commands import ended_by_signal, play
+from quorum.config import load
+from quorum.logs import log_lines
+from quorum.machine import restored
+from quorum.messages import Snapshot
+from quorum.server import Server
+from quorum.store import StoreError, replace_file, restore
+from tomlconfig import Address, ConfigError, address_of
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 ConfigFile = Annotated[Path, typer.Argument(metavar="CONFIG", help="The TOML file of any member.")]
@@ -38,7 +38,7 @@
         try:
             server.reload(load(path))
         except ConfigError as error:
-            structlog.get_logger("mallowquorum").error("not read again", why=str(error))
+            structlog.get_logger("quorum").error("not read again", why=str(error))
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     await server.start()
@@ -165,7 +165,7 @@
 
 def main() -> int:
     """Run; 2 and one line where something cannot be used, 1 where a quorum does not do what was asked."""
-    return play(app, "mallowquorum", (ConfigError, StoreError, OSError))
+    return play(app, "quorum", (ConfigError, StoreError, OSError))
 
 
 if __name__ == "__main__":
--- a/mallowquorum/client.py
+++ b/quorum/client.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from mallowquorum import wire
-from mallowquorum.holder import Asking, Bounds, Holding
-from mallowquorum.machine import (
+from quorum import wire
+from quorum.holder import Asking, Bounds, Holding
+from quorum.machine import (
     NO_SESSION,
     Acquire,
     Answer,
@@ -26,10 +26,10 @@
     Release,
     Renew,
 )
-from mallowquorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
-from mallowquorum.monotonic import now_us
-from mallowquorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
-from mallowtoml import Address
+from quorum.member import Elsewhere, NoRoom, Read, Request, Response, Told, Unknown, Wait, Watch
+from quorum.monotonic import now_us
+from quorum.wire import MOST_FRAME, VERSION, Hello, WireError, frame
+from tomlconfig import Address
 
 TRY_S, MOST_TRY_S = 0.5, 4.0  # s for a first try, beside what the request itself may wait, and for later ones
 CONNECT_S = 0.5
--- a/mallowquorum/commands.py
+++ b/quorum/commands.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from mallowquorum.client import QuorumError
+from quorum.client import QuorumError
 
 
 def play(app: typer.Typer, program: str, wrong: tuple[type[Exception], ...]) -> int:
--- a/mallowquorum/config.py
+++ b/quorum/config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from mallowtoml import Address, ConfigError, address_of, check_address, read
+from tomlconfig import Address, ConfigError, address_of, check_address, read
 
 MOST_MEMBERS, MOST_RESERVE_KB = 9, 1024 * 1024
 
--- a/mallowquorum/figures.py
+++ b/quorum/figures.py
@@ -8,7 +8,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from mallowquorum.wire import Health
+from quorum.wire import Health
 
 SYNC_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
--- a/mallowquorum/lives.py
+++ b/quorum/lives.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from mallowquorum.messages import Appended, AskVote, Message, Vote
+from quorum.messages import Appended, AskVote, Message, Vote
 
 MOST_SHUNNED = 64  # folders
 
--- a/mallowquorum/log.py
+++ b/quorum/log.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from mallowquorum.messages import Entry, Snapshot
+from quorum.messages import Entry, Snapshot
 
 MOST_BATCH_BYTES = 256 * 1024  # of entries in one message
 
--- a/mallowquorum/member.py
+++ b/quorum/member.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from mallowquorum import machine
-from mallowquorum.clocks import Clocks, touched
-from mallowquorum.machine import Acquire, Answer, Command, Done, Held, Machine, Put, Refused, Shun
-from mallowquorum.messages import (
+from quorum import machine
+from quorum.clocks import Clocks, touched
+from quorum.machine import Acquire, Answer, Command, Done, Held, Machine, Put, Refused, Shun
+from quorum.messages import (
     COMMAND,
     MEMBERS,
     Action,
@@ -23,8 +23,8 @@
     Saved,
     Send,
 )
-from mallowquorum.raft import Draw, Raft, Role, Timing
-from mallowquorum.waiting import Waiting
+from quorum.raft import Draw, Raft, Role, Timing
+from quorum.waiting import Waiting
 
 COMPACT_AT = 4096  # entries in the log before it is compacted
 MOST_WAITERS = 4096  # requests that wait for leases
--- a/mallowquorum/raft.py
+++ b/quorum/raft.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from mallowquorum.log import Log
-from mallowquorum.messages import (
+from quorum.log import Log
+from quorum.messages import (
     COMMAND,
     MEMBERS,
     NOOP,
--- a/mallowquorum/server.py
+++ b/quorum/server.py
@@ -16,18 +16,18 @@
 import msgspec
 import structlog
 
-from mallowpages import JSON, METRICS, Page, Pages
-from mallowquorum import wire
-from mallowquorum.config import Config
-from mallowquorum.figures import Figures
-from mallowquorum.lives import Claim, Lives
-from mallowquorum.machine import Done, Refused
-from mallowquorum.member import Elsewhere, Member, Out, Reply, Request, Shunned, Together
-from mallowquorum.messages import Message, Persist, Send
-from mallowquorum.monotonic import now_us
-from mallowquorum.raft import Role, Timing
-from mallowquorum.store import FULL, Store
-from mallowquorum.wire import (
+from operatorpages import JSON, METRICS, Page, Pages
+from quorum import wire
+from quorum.config import Config
+from quorum.figures import Figures
+from quorum.lives import Claim, Lives
+from quorum.machine import Done, Refused
+from quorum.member import Elsewhere, Member, Out, Reply, Request, Shunned, Together
+from quorum.messages import Message, Persist, Send
+from quorum.monotonic import now_us
+from quorum.raft import Role, Timing
+from quorum.store import FULL, Store
+from quorum.wire import (
     FRAME_S,
     HELLO_S,
     MOST_ASKED,
@@ -38,9 +38,9 @@
     WireError,
     frame,
 )
-from mallowtoml import Address, address_of
+from tomlconfig import Address, address_of
 
-LOG = structlog.get_logger("mallowquorum")
+LOG = structlog.get_logger("quorum")
 MOST_QUEUED = 512  # messages to a member that does not take them; the oldest goes, as any may be lost
 MOST_CLIENTS = 2048
 BACKLOG = 1024  # connections that wait to be accepted: a whole fleet may come at once
--- a/mallowquorum/store.py
+++ b/quorum/store.py
@@ -21,9 +21,9 @@
 
 import msgspec
 
-from mallowquorum.lives import Life
-from mallowquorum.log import Log
-from mallowquorum.messages import Entry, Hard, Persist, Saved, Snapshot
+from quorum.lives import Life
+from quorum.log import Log
+from quorum.messages import Entry, Hard, Persist, Saved, Snapshot
 
 HEAD = struct.Struct("<II")  # length and CRC-32 of what follows
 FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)  # what a disk says that is full
--- a/mallowquorum/tasks.py
+++ b/quorum/tasks.py
@@ -16,13 +16,13 @@
 
 import structlog
 
-from mallowquorum.client import Client, Keeper, QuorumError
-from mallowquorum.holder import Bounds
-from mallowquorum.machine import Done
-from mallowquorum.monotonic import now_us
-from mallowtoml import Address
+from quorum.client import Client, Keeper, QuorumError
+from quorum.holder import Bounds
+from quorum.machine import Done
+from quorum.monotonic import now_us
+from tomlconfig import Address
 
-LOG = structlog.get_logger("mallowquorum.tasks")
+LOG = structlog.get_logger("quorum.tasks")
 ASK_S = 5.0  # s for an answer of the quorum, before it is tried anew with another session
 AGAIN_S = (0.1, 5.0)  # s between tries without a quorum: at first, and at most
 MOST_TURN_MS = 20_000  # of waiting in turn, before it is asked anew
--- a/mallowquorum/wire.py
+++ b/quorum/wire.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from mallowquorum.lives import Claim, Life
-from mallowquorum.member import Request, Response
-from mallowquorum.messages import Message, Snapshot
+from quorum.lives import Claim, Life
+from quorum.member import Request, Response
+from quorum.messages import Message, Snapshot
 
 VERSION = 1
 SIZE = struct.Struct(">I")
--- a/mallowsweep/__main__.py
+++ b/sweeper/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m mallowsweep CONFIG`` runs a sweeper; ``... summary CONFIG`` shows the fleet."""
+"""``python -m sweeper CONFIG`` runs a sweeper; ``... summary CONFIG`` shows the fleet."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 import msgspec
 import typer
 
-from mallowquorum.client import Client
-from mallowquorum.commands import ended_by_signal, play
-from mallowquorum.logs import log_lines
-from mallowsweep.config import Config, load
-from mallowsweep.sweeper import Sweeper, shown, summaries_of, tasks_of
-from mallowtoml import ConfigError
+from quorum.client import Client
+from quorum.commands import ended_by_signal, play
+from quorum.logs import log_lines
+from sweeper.config import Config, load
+from sweeper.sweeper import Sweeper, shown, summaries_of, tasks_of
+from tomlconfig import ConfigError
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -51,7 +51,7 @@
 
 def main() -> int:
     """Run; 2 and one line where something cannot be used, 1 where a quorum does not do what was asked."""
-    return play(app, "mallowsweep", (ConfigError, OSError))
+    return play(app, "sweeper", (ConfigError, OSError))
 
 
 if __name__ == "__main__":
--- a/mallowsweep/config.py
+++ b/sweeper/config.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from mallowquorum.machine import LEAST_TTL_MS, MOST_TTL_MS
-from mallowsweep.summary import MOST_IN_RECORD, MOST_NAME, MOST_RELAYS, slices_of
-from mallowtoml import Address, ConfigError, address_of, check_address, read
+from quorum.machine import LEAST_TTL_MS, MOST_TTL_MS
+from sweeper.summary import MOST_IN_RECORD, MOST_NAME, MOST_RELAYS, slices_of
+from tomlconfig import Address, ConfigError, address_of, check_address, read
 
 MOST_PACE_PER_S = 200.0
 
--- a/mallowsweep/sweeper.py
+++ b/sweeper/sweeper.py
@@ -10,11 +10,11 @@
 import msgspec
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
-from mallowpages import JSON, METRICS, Page, Pages
-from mallowquorum.client import Client, QuorumError
-from mallowquorum.tasks import Runner, Step, Terms
-from mallowsweep.config import Config
-from mallowsweep.summary import (
+from operatorpages import JSON, METRICS, Page, Pages
+from quorum.client import Client, QuorumError
+from quorum.tasks import Runner, Step, Terms
+from sweeper.config import Config
+from sweeper.summary import (
     FiguresError,
     Seen,
     Summary,
@@ -26,7 +26,7 @@
     slices_of,
     totals,
 )
-from mallowtoml import Address, address_of
+from tomlconfig import Address, address_of
 
 TASK = "sweep"
 STEP_S = 1.0  # s of reading between two writes of the summary
--- a/tests/peers/members.py
+++ b/tests/membership/members.py
@@ -50,7 +50,7 @@
         for name in names:
             with (self.folder / f"{name}.log").open("ab") as log:
                 self.processes[name] = await asyncio.create_subprocess_exec(
-                    *(sys.executable, "-m", "mallowpeers", str(self.config(name))), cwd=ROOT, stderr=log
+                    *(sys.executable, "-m", "membership", str(self.config(name))), cwd=ROOT, stderr=log
                 )
 
     async def kill(self, *names: str) -> None:
--- a/tests/peers/test_core.py
+++ b/tests/membership/test_core.py
@@ -6,10 +6,10 @@
 from collections import Counter
 from random import Random
 
-from fleetlab.sim.peers import PeersSim, Plan
-from mallowpeers.core import LIVE, MOST_MEMBERS, SECOND, Peers, Settings
-from mallowpeers.messages import Ack, Exchange, Gossip, Ping, Say, State, Update
-from mallowpeers.roll import Roll
+from fleetlab.sim.members import PeersSim, Plan
+from membership.core import LIVE, MOST_MEMBERS, SECOND, Peers, Settings
+from membership.messages import Ack, Exchange, Gossip, Ping, Say, State, Update
+from membership.roll import Roll
 
 
 def test_a_roll_draws_each_name_alike_and_none_that_is_not_meant() -> None:
--- a/tests/peers/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -15,13 +15,13 @@
 import pytest
 import pytest_asyncio
 
-from mallowpeers import config, wire
-from mallowpeers.generation import GenerationError, next_generation
-from mallowpeers.messages import Gossip, Ping, State, Update
-from mallowpeers.shell import Rates
-from mallowtoml import ConfigError
+from membership import config, wire
+from membership.generation import GenerationError, next_generation
+from membership.messages import Gossip, Ping, State, Update
+from membership.shell import Rates
 from standins.scripted import ROOT
-from tests.peers.members import PORT, Members, states
+from tests.membership.members import PORT, Members, states
+from tomlconfig import ConfigError
 
 FLEET = wire.mark("test")
 
@@ -162,7 +162,7 @@
 
 
 async def test_operators_read_the_view(five: Members) -> None:
-    command = [sys.executable, "-m", "mallowpeers", "view", str(five.config("m1"))]
+    command = [sys.executable, "-m", "membership", "view", str(five.config("m1"))]
     process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=subprocess.PIPE)
     out = (await process.communicate())[0].decode().splitlines()
     assert process.returncode == 0
@@ -191,7 +191,7 @@
     text = "\n".join(f"{name} = {value}" for name, value in given.items() if name != key) + f"\n{line}\n"
     path = tmp_path / "bad.toml"
     path.write_text(text)
-    command = [sys.executable, "-m", "mallowpeers", str(path)]
+    command = [sys.executable, "-m", "membership", str(path)]
     ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
     assert ended.returncode == 2
     assert str(path) in ended.stderr
--- a/tests/peers/test_sim.py
+++ b/tests/membership/test_sim.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from fleetlab.sim.peers import PeersSim, Plan
+from fleetlab.sim.members import PeersSim, Plan
 from fleetlab.sim.world import Weather
-from mallowpeers.core import SECOND, Peers, Settings
-from mallowpeers.messages import Gossip, Replaced, State, Update
+from membership.core import SECOND, Peers, Settings
+from membership.messages import Gossip, Replaced, State, Update
 
 SIZES = (3, 40)
 FAST = Settings(period_us=SECOND // 2, ack_us=150_000, exchange_us=5 * SECOND, again_us=2 * SECOND)
--- a/tests/peers/test_standing.py
+++ b/tests/membership/test_standing.py
@@ -7,9 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mallowpeers.core import SECOND
-from mallowpeers.messages import State, Update
-from mallowpeers.standing import ALLOWED, SETTLE_US, STEP, STEP_US, Fleet, Standing, larger
+from membership.core import SECOND
+from membership.messages import State, Update
+from membership.standing import ALLOWED, SETTLE_US, STEP, STEP_US, Fleet, Standing, larger
 
 NAMES = [f"m{number:02}" for number in range(9)]
 
--- a/tests/quorum/bugs.py
+++ b/tests/quorum/bugs.py
@@ -8,10 +8,10 @@
 from msgspec.structs import replace
 
 from fleetlab.sim.quorum import Parts
-from mallowquorum.clocks import Clock, Clocks
-from mallowquorum.holder import Asking, Fence, Holding
-from mallowquorum.lives import Claim, Life, Lives
-from mallowquorum.machine import (
+from quorum.clocks import Clock, Clocks
+from quorum.holder import Asking, Fence, Holding
+from quorum.lives import Claim, Life, Lives
+from quorum.machine import (
     Acquire,
     Answer,
     Close,
@@ -23,7 +23,7 @@
     Renew,
     Session,
 )
-from mallowquorum.messages import (
+from quorum.messages import (
     COMMAND,
     Action,
     Appended,
@@ -35,7 +35,7 @@
     Send,
     Vote,
 )
-from mallowquorum.raft import Leading, Raft
+from quorum.raft import Leading, Raft
 
 
 class VoteNotSynced(Raft):
--- a/tests/quorum/servers.py
+++ b/tests/quorum/servers.py
@@ -14,12 +14,12 @@
 import msgspec
 import pytest
 
-from mallowquorum import store
-from mallowquorum.client import Client, QuorumError, leader_of, status
-from mallowquorum.config import Config, Times
-from mallowquorum.server import Server
-from mallowquorum.wire import Health
-from mallowtoml import Address
+from quorum import store
+from quorum.client import Client, QuorumError, leader_of, status
+from quorum.config import Config, Times
+from quorum.server import Server
+from quorum.wire import Health
+from tomlconfig import Address
 
 TIMES = Times(least_election_ms=150, most_election_ms=300, heartbeat_ms=40)
 
--- a/tests/quorum/test_logs.py
+++ b/tests/quorum/test_logs.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import TextIO, cast
 
-from mallowquorum.logs import Lines
+from quorum.logs import Lines
 from tests.quorum.servers import Quorum
 
 
--- a/tests/quorum/test_processes.py
+++ b/tests/quorum/test_processes.py
@@ -22,7 +22,7 @@
 per_s = 1
 [[program]]
 name = "quorum"
-module = "mallowquorum"
+module = "quorum"
 count = 3
 config = '''
 name = "quorum{{number}}"
@@ -111,8 +111,8 @@
 
 def test_wall_clocks_that_step_by_hours_change_nothing(tmp_path: Path) -> None:
     """Of all members, all the time; a member is killed meanwhile."""
-    text = FLEET.replace("CARELESS", "false").replace('"mallowquorum"', '"fleetlab.stepped"')
-    text = text.replace("config = '''\nname = \"quorum", "config = '''# runs: mallowquorum\nname = \"quorum")
+    text = FLEET.replace("CARELESS", "false").replace('module = "quorum"', 'module = "fleetlab.stepped"')
+    text = text.replace("config = '''\nname = \"quorum", "config = '''# runs: quorum\nname = \"quorum")
     plan = runs.planned("leases", scenario.read(text + FAULTS["members killed in turn"], "leases"), 1)
     result = runs.play(plan, tmp_path / "run", lambda _: None)
     acts = [act for act in runs.opened(tmp_path / "run").acts if act.resource == "fenced"]
--- a/tests/quorum/test_server.py
+++ b/tests/quorum/test_server.py
@@ -13,13 +13,13 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from mallowquorum import wire
-from mallowquorum.client import Client, Keeper, QuorumError, call, order
-from mallowquorum.machine import MOST_VALUE, RESTORED_TOKENS, Done, Refused
-from mallowquorum.member import NoRoom
-from mallowquorum.monotonic import now_us
-from mallowquorum.store import Store, StoreError
-from mallowquorum.wire import FRAME_S, MOST_ASKED, SIZE, VERSION, Hello, frame
+from quorum import wire
+from quorum.client import Client, Keeper, QuorumError, call, order
+from quorum.machine import MOST_VALUE, RESTORED_TOKENS, Done, Refused
+from quorum.member import NoRoom
+from quorum.monotonic import now_us
+from quorum.store import Store, StoreError
+from quorum.wire import FRAME_S, MOST_ASKED, SIZE, VERSION, Hello, frame
 from standins.scripted import ROOT
 from tests.quorum.servers import FullDisks, Quorum, quorum, until
 
@@ -325,7 +325,7 @@
 
     def run() -> tuple[int, str]:
         ended = subprocess.run(
-            [sys.executable, "-m", "mallowquorum", *arguments],
+            [sys.executable, "-m", "quorum", *arguments],
             cwd=ROOT, capture_output=True, text=True, timeout=30, check=False,
         )  # fmt: skip
         return ended.returncode, ended.stdout + ended.stderr
--- a/tests/quorum/test_sim.py
+++ b/tests/quorum/test_sim.py
@@ -12,8 +12,8 @@
 from fleetlab.scenario import Kind
 from fleetlab.sim.linear import FOREVER, Operation, linearizable
 from fleetlab.sim.quorum import Campaign, Parts, QuorumSim, campaign, kept, plan_of, played, step_record
-from mallowquorum.machine import Done, Put, Refused
-from mallowquorum.member import Read, Told
+from quorum.machine import Done, Put, Refused
+from quorum.member import Read, Told
 from standins import records
 from tests.quorum.bugs import BUGS
 
--- a/tests/quorum/test_store.py
+++ b/tests/quorum/test_store.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from mallowquorum import store
-from mallowquorum.messages import Entry, Hard, Persist, Saved, Snapshot
-from mallowquorum.store import Store, StoreError
+from quorum import store
+from quorum.messages import Entry, Hard, Persist, Saved, Snapshot
+from quorum.store import Store, StoreError
 
 WRITES = [
     Persist(1, Hard(1, "q0")),
--- a/tests/quorum/test_tasks.py
+++ b/tests/quorum/test_tasks.py
@@ -13,16 +13,16 @@
 
 import pytest
 
-from mallowquorum.machine import MOST_VALUE
-from mallowquorum.monotonic import now_us
-from mallowquorum.tasks import MOST_ERRORS, Runner, Step, Terms
-from mallowsweep import summary
-from mallowsweep.config import load
-from mallowsweep.summary import FiguresError, Summary, figures_of, following, noted, totals
-from mallowsweep.sweeper import shown, summaries_of, tasks_of
-from mallowtoml import ConfigError
+from quorum.machine import MOST_VALUE
+from quorum.monotonic import now_us
+from quorum.tasks import MOST_ERRORS, Runner, Step, Terms
 from standins.scripted import ROOT
+from sweeper import summary
+from sweeper.config import load
+from sweeper.summary import FiguresError, Summary, figures_of, following, noted, totals
+from sweeper.sweeper import shown, summaries_of, tasks_of
 from tests.quorum.servers import Quorum, quorum, until
+from tomlconfig import ConfigError
 
 TERMS = Terms("count", ttl_ms=600)
 
@@ -271,7 +271,7 @@
 
 def sweeping(paths: list[Path]) -> list[subprocess.Popen[bytes]]:
     """The sweepers' processes."""
-    return [subprocess.Popen([sys.executable, "-m", "mallowsweep", str(path)], cwd=ROOT) for path in paths]
+    return [subprocess.Popen([sys.executable, "-m", "sweeper", str(path)], cwd=ROOT) for path in paths]
 
 
 async def test_one_of_two_sweepers_reads_and_the_other_goes_on(tmp_path: Path) -> None:
@@ -307,7 +307,7 @@
             assert all(count - 5 <= at <= count + 1 for at in jumps)
             printed = await asyncio.to_thread(
                 subprocess.run,
-                [sys.executable, "-m", "mallowsweep", "summary", str(paths[0])],
+                [sys.executable, "-m", "sweeper", "summary", str(paths[0])],
                 cwd=ROOT, capture_output=True, text=True, timeout=30, check=True,
             )  # fmt: skip
             assert json.loads(printed.stdout)["totals"]["requests.x.served"] > 0
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,7 +16,7 @@
 
 UNWANTED = (
     *("_ssl", "_hashlib", "http.client", "email", "multiprocessing", "unittest", "tests", "tools"),
-    *("fleetlab", "standins", "mallowquorum", "msgspec", "numpy", "typer"),
+    *("fleetlab", "standins", "quorum", "msgspec", "numpy", "typer"),
 )
 
 
--- a/tools/disks.py
+++ b/tools/disks.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from statistics import median, quantiles
 
-from mallowquorum.messages import Entry, Persist
-from mallowquorum.store import Store
+from quorum.messages import Entry, Persist
+from quorum.store import Store
 
 ROUNDS, WRITES = 5, 60  # turns of each, and writes in a turn
 BATCHES = (1, 8, 64)  # entries in a write
