Measure growth with size: python -m fleetlab scale, and the endpoint list first

Need: designs for 600 relays and 31,000 destinations rest on guesses of how cost grows. The first subject is a relay that takes in the whole endpoint list.

--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -21,10 +21,15 @@
 from fleetlab import runs, scenario, schedule
 from fleetlab.checks import Result
 from fleetlab.fleet import FleetError
+from fleetlab.scale import command as scaling
+from fleetlab.scale import plot
+from fleetlab.scale.records import ScaleError
+from fleetlab.scale.registry import subject_named
 from fleetlab.sim import model, quorum
 from standins.records import HistoryError
 
 HOLDS, FAILS, WRONG, INTERRUPTED = 0, 1, 2, 130
+REPORT_WIDTH = 160  # characters of a table that goes to a file
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False, help="Fleets under faults."
 )
@@ -251,6 +256,36 @@
     raise typer.Exit(FAILS if broken else HOLDS)
 
 
+@app.command()
+def scale(
+    subject: Annotated[str, typer.Argument(help="What is measured; `list` tells what there is.")] = "list",
+    *,
+    sizes: Annotated[str | None, typer.Option(help="Sizes, between commas, in place of the usual.")] = None,
+    seed: Annotated[int, typer.Option(min=0, help="Every count follows from it.")] = 1,
+    as_json: Json = False,
+    plot_file: Annotated[Path | None, typer.Option("--plot", help="A picture to write (.png, .svg).")] = None,
+    against: Annotated[Path | None, typer.Option(help="An earlier result of --json to compare with.")] = None,
+) -> None:
+    """Measure how cost grows with the size of a fleet; exit 1 where a size could not be measured."""
+    if subject == "list":
+        scaling.list_subjects(Console())
+        return
+    chosen = subject_named(subject)
+    earlier = scaling.load_report(against) if against is not None else None
+    with interruptible(), progress() as say:
+        found = scaling.play(chosen, scaling.sizes_of(sizes, chosen), seed, say)
+    if plot_file is not None:
+        plot.write_plot(found, plot_file)
+    if as_json:
+        print(msgspec.json.encode(found).decode())
+    else:
+        console = Console(width=None if sys.stdout.isatty() else REPORT_WIDTH)
+        scaling.show(found, console)
+        if earlier is not None:
+            scaling.compare(earlier, found, console)
+    raise typer.Exit(FAILS if found.left_out else HOLDS)
+
+
 def numbers(text: str, option: str) -> list[int]:
     """Whole numbers between commas."""
     try:
@@ -286,7 +321,7 @@
         return int(app(standalone_mode=False) or HOLDS)
     except typer.Exit as end:
         return end.exit_code
-    except (scenario.ScenarioError, runs.RunError, HistoryError, FleetError) as error:
+    except (scenario.ScenarioError, runs.RunError, HistoryError, FleetError, ScaleError) as error:
         print(f"fleetlab: {error}", file=sys.stderr)
     except Exception as error:
         if not hasattr(error, "format_message"):  # typer's and click's own errors of use have it
--- /dev/null
+++ b/fleetlab/scale/fit.py
@@ -0,0 +1,60 @@
+"""Straight-line fits of readings over sizes, and the exponent of their growth. Pure."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+import numpy as np
+
+from fleetlab.scale.records import Sample, Slope, Source
+
+
+def slopes(samples: Sequence[Sample], target: int) -> tuple[Slope, ...]:
+    """A fit for each figure that was read at two sizes or more, in the order of their first reading."""
+    points: dict[str, list[tuple[int, float]]] = {}
+    sources: dict[str, Source] = {}
+    for sample in sorted(samples, key=lambda sample: sample.size):
+        for reading in sample.readings:
+            points.setdefault(reading.figure, []).append((sample.size, reading.value))
+            sources[reading.figure] = reading.source
+    return tuple(
+        fitted(figure, sources[figure], some, target)
+        for figure, some in points.items()
+        if len({size for size, _ in some}) > 1
+    )
+
+
+def fitted(figure: str, source: Source, points: Sequence[tuple[int, float]], target: int) -> Slope:
+    """The line with the least squared error through the points, and what it gives at the target."""
+    sizes = np.array([size for size, _ in points], dtype=float)
+    values = np.array([value for _, value in points], dtype=float)
+    slope, intercept = (float(part) for part in np.polyfit(sizes, values, 1))
+    deviation = float(np.max(np.abs(values - (intercept + slope * sizes))))
+    largest = float(np.max(np.abs(values)))
+    measured = [value for size, value in points if size == target]
+    return Slope(
+        figure=figure,
+        source=source,
+        sizes=tuple(int(size) for size in sizes),
+        slope=slope,
+        intercept=intercept,
+        exponent=exponent(points),
+        error=deviation / largest if largest else 0.0,
+        target=target,
+        at_target=sum(measured) / len(measured) if measured else intercept + slope * target,
+        extrapolated_by=1.0 if measured else target / max(size for size, _ in points),
+    )
+
+
+def exponent(points: Sequence[tuple[int, float]]) -> float:
+    """The power of size by which a figure grows, over the upper half of the sizes; 0 if never above 0.
+
+    Constant costs hide growth at small sizes, so only the upper half tells what comes beyond them.
+    """
+    positive = [(math.log(size), math.log(value)) for size, value in points if value > 0]
+    upper = positive[-max(2, (len(positive) + 1) // 2) :]
+    if len({size for size, _ in upper}) < 2:
+        return 0.0
+    slope, _ = np.polyfit([size for size, _ in upper], [value for _, value in upper], 1)
+    return float(slope)
--- /dev/null
+++ b/fleetlab/scale/machine.py
@@ -0,0 +1,29 @@
+"""What this machine allows a measurement: half of its memory, and a size above zero."""
+
+from __future__ import annotations
+
+import os
+
+from fleetlab.scale.records import ScaleError
+from fleetlab.scale.subject import Subject
+
+MEMORY_SHARE = 0.5
+MIB = 1 << 20
+
+
+def memory_bytes() -> int:
+    """The machine's memory."""
+    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+
+
+def check_size(subject: Subject, size: int, machine_bytes: int) -> None:
+    """``ScaleError`` where the size is no size, or needs more than half of the machine's memory."""
+    if size < 1:
+        raise ScaleError(f"{subject.name}: size {size}: must be at least 1")
+    needed = subject.memory_bytes(size)
+    allowed = int(MEMORY_SHARE * machine_bytes)
+    if needed > allowed:
+        raise ScaleError(
+            f"{subject.name}: size {size}: needs about {needed // MIB} MiB, "
+            f"over half of this machine's memory ({allowed // MIB} MiB)"
+        )
--- /dev/null
+++ b/fleetlab/scale/process.py
@@ -0,0 +1,21 @@
+"""What the process that measures has used so far."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+KIB = 1024
+
+
+def resident_bytes() -> int:
+    """Memory that this process holds now, by the system's accounting."""
+    for line in Path("/proc/self/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * KIB
+    raise OSError("the system does not tell resident memory")
+
+
+def processor_seconds() -> float:
+    """Processor time that this process used, in user and system mode."""
+    return time.process_time()
--- /dev/null
+++ b/fleetlab/scale/subjects/__init__.py
@@ -0,0 +1,1 @@
+"""The subjects of measurement, one module each."""
--- /dev/null
+++ b/fleetlab/scale/worker.py
@@ -0,0 +1,45 @@
+"""``python -m fleetlab.scale.worker SUBJECT SIZE SEED``: one measurement in a process of its own, as JSON."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from fleetlab.scale.records import Sample, ScaleError
+from fleetlab.scale.registry import subject_named
+from fleetlab.scale.subject import Subject
+
+MOST_ERROR_CHARACTERS = 300
+
+
+def measured(subject: Subject, size: int, seed: int) -> Sample:
+    """Measure in a fresh process; ``ScaleError`` where it fails or takes too long, and then it is ended."""
+    command = [sys.executable, "-m", "fleetlab.scale.worker", subject.name, str(size), str(seed)]
+    try:
+        done = subprocess.run(command, capture_output=True, timeout=subject.seconds, check=False)
+    except subprocess.TimeoutExpired:
+        raise ScaleError(f"{subject.name}: size {size}: did not end within {subject.seconds:.0f} s") from None
+    if done.returncode:
+        last = done.stderr.decode(errors="replace").strip().rpartition("\n")[2]
+        raise ScaleError(f"{subject.name}: size {size}: failed: {last[:MOST_ERROR_CHARACTERS]}")
+    try:
+        return msgspec.json.decode(done.stdout, type=Sample)
+    except msgspec.DecodeError as error:
+        raise ScaleError(f"{subject.name}: size {size}: unreadable result: {error}") from None
+
+
+def main(arguments: list[str]) -> int:
+    """Measure and print."""
+    subject, size, seed = subject_named(arguments[0]), int(arguments[1]), int(arguments[2])
+    begun_s = time.monotonic()
+    readings = tuple(subject.measure(size, seed))
+    sample = Sample(subject.name, size, seed, time.monotonic() - begun_s, readings)
+    print(msgspec.json.encode(sample).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/scale/test_framework.py
@@ -0,0 +1,110 @@
+"""The scale command itself: fits, bounds on sizes, reports, and growth that is told from its readings."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from fleetlab.scale import machine
+from fleetlab.scale.command import sizes_of
+from fleetlab.scale.fit import exponent, fitted
+from fleetlab.scale.records import ScaleError, Source
+from fleetlab.scale.registry import SUBJECTS, subject_named
+from standins.scripted import ROOT
+
+GIB = 1 << 30
+SIZES = (100, 200, 400, 800)
+
+
+def scale(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the command."""
+    command = [sys.executable, "-m", "fleetlab", "scale", *arguments]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False, timeout=60)
+
+
+def test_a_line_is_found_with_its_error_and_its_value_at_the_target() -> None:
+    points = [(size, 7.0 + 3.0 * size) for size in SIZES]
+    fit = fitted("some_bytes", Source.COUNT, points, target=8000)
+    assert fit.slope == pytest.approx(3)
+    assert fit.intercept == pytest.approx(7)
+    assert fit.at_target == pytest.approx(24_007)
+    assert fit.extrapolated_by == 10
+    assert fit.error < 1e-9
+
+
+def test_a_reading_at_the_target_counts_in_place_of_the_fit() -> None:
+    fit = fitted("some_bytes", Source.COUNT, [(10, 10.0), (20, 20.0), (30, 99.0)], target=30)
+    assert fit.at_target == 99
+    assert fit.extrapolated_by == 1
+
+
+@pytest.mark.parametrize("power", [0, 1, 2])
+def test_growth_is_told_from_readings_with_a_constant_part(power: int) -> None:
+    """A planted quadratic cannot pass for a line."""
+    points = [(size, 5.0 + float(size**power)) for size in SIZES]
+    assert exponent(points) == pytest.approx(power, abs=0.1)
+
+
+def test_a_figure_that_is_always_zero_has_no_growth() -> None:
+    assert exponent([(size, 0.0) for size in SIZES]) == 0
+
+
+@pytest.mark.parametrize(
+    ("size", "reason"),
+    [(0, "must be at least 1"), (-5, "must be at least 1"), (10**9, "over half of this machine's memory")],
+)
+def test_a_size_that_cannot_be_measured_is_refused(size: int, reason: str) -> None:
+    with pytest.raises(ScaleError, match=reason):
+        machine.check_size(subject_named("endpoint-list"), size, 8 * GIB)
+
+
+def test_every_subject_may_be_measured_at_its_own_sizes_on_a_machine_of_16_gib() -> None:
+    for subject in SUBJECTS.values():
+        assert len(subject.sizes) >= 4, subject.name
+        for size in subject.sizes:
+            machine.check_size(subject, size, 16 * GIB)
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [("many", "not whole numbers"), ("", "not whole numbers"), (",".join(map(str, range(1, 18))), "at most")],
+)
+def test_sizes_that_cannot_be_read_are_refused(text: str, reason: str) -> None:
+    with pytest.raises(ScaleError, match=reason):
+        sizes_of(text, subject_named("endpoint-list"))
+
+
+@pytest.mark.parametrize(
+    ("arguments", "reason"),
+    [
+        (["nothing"], "no subject is called 'nothing'"),
+        (["endpoint-list", "--sizes", "0"], "size 0: must be at least 1"),
+        (["endpoint-list", "--sizes", "20,-1"], "size -1: must be at least 1"),
+        (["endpoint-list", "--against", "/nowhere"], "--against: /nowhere"),
+    ],
+)
+def test_wrong_use_is_one_line_and_2(arguments: list[str], reason: str) -> None:
+    done = scale(*arguments)
+    assert done.returncode == 2
+    assert reason in done.stderr
+    assert len(done.stderr.strip().splitlines()) == 1
+    assert done.stdout == ""
+
+
+def test_a_report_is_json_with_the_same_counts_each_time_and_a_picture(tmp_path: Path) -> None:
+    done = scale("endpoint-list", "--sizes", "20,40", "--json", "--plot", str(tmp_path / "growth.png"))
+    report = json.loads(done.stdout)
+    assert done.returncode == 0
+    assert [sample["size"] for sample in report["samples"]] == [20, 40]
+    counts = [reading for reading in report["samples"][0]["readings"] if reading["source"] == "count"]
+    assert {"figure": "endpoints_known", "value": 20.0, "source": "count"} in counts
+    assert (tmp_path / "growth.png").read_bytes().startswith(b"\x89PNG")
+    earlier = tmp_path / "earlier.json"
+    earlier.write_text(done.stdout, encoding="utf-8")
+    again = scale("endpoint-list", "--sizes", "20,40", "--against", str(earlier))
+    assert again.returncode == 0
+    assert "before and after" in again.stdout
