Let two tests of the quorum hold on a machine that is busy

Seen: with other work on the machine, test_a_copy_is_restored_into_a_new_quorum and test_wall_clocks_that_step_by_hours_change_nothing failed once each. Cause: a lease of 1.5 s had run out before the copy was taken by a command in a process of its own (the copy held no lease, and the new one was granted after 25 ms); and the log of one member had lines of one hour only. Change: the lease lasts 4 s, and the wait counts from the start of the new quorum, which is a bound of 4 s in place of 1 s; the hours are sought in the logs of all three members.

--- a/tests/quorum/test_processes.py
+++ b/tests/quorum/test_processes.py
@@ -116,8 +116,9 @@
     plan = runs.planned("leases", scenario.read(text + FAULTS["members killed in turn"], "leases"), 1)
     result = runs.play(plan, tmp_path / "run", lambda _: None)
     acts = [act for act in runs.opened(tmp_path / "run").acts if act.resource == "fenced"]
-    log = (tmp_path / "run" / "processes" / "quorum0" / "log").read_text()
-    hours = {line.split("T")[1][:2] for line in log.splitlines() if "timestamp" in line and "T" in line}
+    logs = [tmp_path / "run" / "processes" / f"quorum{number}" / "log" for number in range(3)]
+    lines = [line for log in logs for line in log.read_text().splitlines()]
+    hours = {line.split("T")[1][:2] for line in lines if "timestamp" in line and "T" in line}
     assert len(hours) > 1  # the clock did step
     assert result.checks["one_actor"].ok
     assert acts[-1].t > 8.0
--- a/tests/quorum/test_server.py
+++ b/tests/quorum/test_server.py
@@ -295,7 +295,7 @@
         client = some.client()
         await client.open(WITHIN_S)
         await client.put("a", 0, b"kept", within_s=WITHIN_S)
-        held = (await client.acquire("sweep", 1_500, within_s=WITHIN_S)).response
+        held = (await client.acquire("sweep", 4_000, within_s=WITHIN_S)).response
         assert isinstance(held, Done)
         client.close()
         config = some.written("q0", tmp_path / "old.toml")
@@ -307,15 +307,15 @@
         assert (await command("restore", str(path), str(tmp_path / "copy")))[0] == 0
         code, text = await command("restore", str(path), str(tmp_path / "copy"))
         assert (code, "is not empty" in text, text.count("\n")) == (2, True, 1)
+    begun_us = now_us()
     await new.start(*new.voters)
     client = new.client()
     await client.open(WITHIN_S)
     assert (await client.read(WITHIN_S, key="a")).value == b"kept"
-    begun_us = now_us()
     got = (await client.acquire("sweep", 1_000, wait_ms=8_000, within_s=WITHIN_S)).response
     assert isinstance(got, Done)
     assert got.token > RESTORED_TOKENS
-    assert now_us() - begun_us > 1_000_000
+    assert now_us() - begun_us >= 4_000_000  # one clock, and the whole lease counts anew
     client.close()
     await new.stop(*new.voters)
 
