Measure a relay's intake of the whole endpoint list by its real watch and process

Need: the list was handed to the module directly; whether it arrives by the watch, what it holds up and what a client waits meanwhile was not known. Change: endpoint-list fetches the list by the real Driver from a hollow directory in a process of its own, with timed turns of the event loop, and by the real process while a client asks every 20 ms. Each ends after 12 s, also where the list never arrives (list_known 0). Endpoints have addresses on loopback, as the process may call them.

--- /dev/null
+++ b/fleetlab/scale/endpoints.py
@@ -0,0 +1,32 @@
+"""Endpoint lists of any length in discovery's form, by the stand-in platform's own encoder."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+
+from standins.platform import Entry
+
+ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
+KIND = "franchisee"
+ENCODE = msgspec.json.Encoder().encode
+
+
+def entries(size: int, random: Random) -> list[Entry]:
+    """That many endpoints, one to each destination, with names as a platform gives them."""
+    return [
+        Entry(f"s-{random.getrandbits(32):08x}-{number}", ZONES[number % len(ZONES)], KIND, number)
+        for number in range(size)
+    ]
+
+
+def dial(number: int) -> str:
+    """The address of an endpoint; nothing listens there, and it leads nowhere off the machine."""
+    return f"127.{1 + (number >> 16)}.{(number >> 8) & 255}.{number & 255}:9"
+
+
+def news_line(seq: int, whole: bool, listed: list[Entry]) -> bytes:
+    """One line of a watch: the whole list, or entries that changed."""
+    hosts = [entry.told(dial(entry.block)) for entry in listed]
+    return ENCODE({"seq": seq, "whole": whole, "hosts": hosts}) + b"\n"
--- /dev/null
+++ b/fleetlab/scale/intake.py
@@ -0,0 +1,187 @@
+"""The whole endpoint list on its way into one relay: the real ``Driver`` here, and the real process.
+
+The list comes over loopback from a hollow directory in a process of its own. Both end after a bound, also
+where the list never arrives.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+from fleetlab.scale.directory import DirectoryProcess
+from fleetlab.scale.process import resident_bytes
+from fleetlab.scale.turns import TurnSelector
+from mallowlug.config import Config, load
+from mallowlug.journal import Journal
+from mallowlug.relay import Driver
+from mossfront.brain import Relay
+from mossfront.interface import Action, Event
+from standins.scripted import Client, World
+from tools.cost.reading import taken
+
+PATIENCE_S = 12.0  # s for the list to arrive: four times what a watch waits for its first line
+LOOK_S = 0.02  # s between looks whether all endpoints are known
+ASK_S = 0.1  # s between questions to a relay's process how many it knows
+CLIENT_S = 0.02  # s between the questions of a client
+GROUP = 600  # relays of the fleet
+KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Intake:
+    """How a relay's event loop took in the list."""
+
+    known: int  # endpoints known to the module at the end
+    seconds: float | None  # until all were known; None: never
+    most_entries_in_one_step: int  # of the module
+    longest_hold_s: float  # of the event loop
+    resident_bytes: int  # grown meanwhile
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessIntake:
+    """How a relay's process took in the list, as a client saw it."""
+
+    known: int
+    seconds: float | None  # from the process's first answer; None: never
+    longest_wait_s: float  # of a client for its answer
+    resident_bytes: int  # of the whole process at the end
+    peak_resident_bytes: int
+
+
+class RelayWorld(World):
+    """A relay's surroundings beside a directory that another process serves."""
+
+    def __init__(self, folder: Path, directory_port: int) -> None:
+        super().__init__(folder)
+        self.directory.port = directory_port
+        self.settings["group_size"] = GROUP
+        self.admin_port = self.free_port()
+
+    async def start(self) -> None:
+        """Make the relay's folder; the directory serves already."""
+        self.state.mkdir()
+
+
+class CountingModule(Relay):
+    """The module, with the entries of the list that each step brought."""
+
+    entries_taken = 0
+    most_entries_in_one_step = 0
+
+    def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
+        """Count, then take the step."""
+        batch = list(events)
+        entries = sum(len(getattr(event, "entries", ())) for event in batch)
+        self.entries_taken += entries
+        self.most_entries_in_one_step = max(self.most_entries_in_one_step, entries)
+        return super().step(now_us, batch)
+
+
+class CountingDriver(Driver):
+    """The relay's loop of steps around a module that counts."""
+
+    def __init__(self, config: Config, journal: Journal) -> None:
+        super().__init__(config, journal, self._broke)
+        self.module = self._module = CountingModule(config.settings, config.seed)
+
+    @staticmethod
+    def _broke(error: BaseException) -> None:
+        raise error
+
+    async def until_known(self, size: int) -> float | None:
+        """Wait for the whole list; the seconds that it took, None where it did not come within the bound."""
+        begun_s = time.monotonic()
+        while (spent_s := time.monotonic() - begun_s) < PATIENCE_S:
+            if self.module.entries_taken >= size and self.module.known == size:
+                return spent_s
+            await asyncio.sleep(LOOK_S)
+        return None
+
+
+def driver_intake(size: int, seed: int) -> Intake:
+    """Have the real driver fetch the list from a hollow directory, in a loop whose turns are timed."""
+    turns = TurnSelector()
+    with (
+        DirectoryProcess(size, seed) as directory,
+        tempfile.TemporaryDirectory(prefix="scale-") as folder,
+        asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner,
+    ):
+        return runner.run(_drive(RelayWorld(Path(folder), directory.port), size, turns))
+
+
+async def _drive(world: RelayWorld, size: int, turns: TurnSelector) -> Intake:
+    await world.start()
+    config = load(world.environment())
+    journal = Journal(config.state, config.disk_bytes)
+    driver = CountingDriver(config, journal)
+    try:
+        before_bytes = resident_bytes()
+        turns.restart()
+        driver.start()
+        seconds = await driver.until_known(size)
+        return Intake(
+            known=driver.module.known,
+            seconds=seconds,
+            most_entries_in_one_step=driver.module.most_entries_in_one_step,
+            longest_hold_s=turns.longest_s,
+            resident_bytes=resident_bytes() - before_bytes,
+        )
+    finally:
+        driver.close()
+        journal.close()
+
+
+def process_intake(size: int, seed: int) -> ProcessIntake:
+    """Start a real relay beside a hollow directory, and ask it as a client all the while."""
+    with (
+        DirectoryProcess(size, seed) as directory,
+        tempfile.TemporaryDirectory(prefix="scale-") as folder,
+    ):
+        return asyncio.run(_attend(RelayWorld(Path(folder), directory.port), size))
+
+
+async def _attend(world: RelayWorld, size: int) -> ProcessIntake:
+    await world.start()
+    try:
+        client = await world.run()
+        begun_s = time.monotonic()
+        questions = asyncio.create_task(_longest_wait_s(client))
+        known = 0
+        while (spent_s := time.monotonic() - begun_s) < PATIENCE_S and known != size:
+            await asyncio.sleep(ASK_S)
+            known = (await world.figures())["endpoints_known"]
+        questions.cancel()
+        assert world.process is not None
+        used = taken(world.process.pid)
+        return ProcessIntake(
+            known=known,
+            seconds=spent_s if known == size else None,
+            longest_wait_s=await questions,
+            resident_bytes=used.memory_kb * KIB,
+            peak_resident_bytes=used.peak_memory_kb * KIB,
+        )
+    finally:
+        await world.stop()
+
+
+async def _longest_wait_s(client: Client) -> float:
+    """Ask at an even pace until cancelled; the longest wait for an answer, also for one that is still out."""
+    loop = asyncio.get_running_loop()
+    longest_s, asked_s = 0.0, None
+    try:
+        while True:
+            asked_s = loop.time()
+            await client.command(b"PING")
+            longest_s = max(longest_s, loop.time() - asked_s)
+            asked_s = None
+            await asyncio.sleep(CLIENT_S)
+    except asyncio.CancelledError:
+        return longest_s if asked_s is None else max(longest_s, loop.time() - asked_s)
+    finally:
+        client.writer.close()
--- a/fleetlab/scale/subjects/endpoint_list.py
+++ b/fleetlab/scale/subjects/endpoint_list.py
@@ -1,65 +1,88 @@
-"""A relay that gets the whole endpoint list: its bytes, the time to take it in, and its memory."""
+"""A relay that gets the whole endpoint list: whether and when it is known, and what waits for it."""
 
 from __future__ import annotations
 
 import json
 from random import Random
 
-from fleetlab.scale.process import processor_seconds, resident_bytes
+from fleetlab.scale import endpoints
+from fleetlab.scale.intake import GROUP, Intake, ProcessIntake, driver_intake, process_intake
+from fleetlab.scale.process import processor_seconds
 from fleetlab.scale.records import Reading, Source
 from fleetlab.scale.subject import Subject
 from mallowlug.discovery import MOST_LINE, read_list
 from mossfront.brain import Relay
 from mossfront.interface import Effect, MessageClass, Roster, RosterKind, Settings
 
-ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
 BYTES_PER_ENDPOINT = 20_000  # upper estimate of memory for one endpoint, text and objects together
 
 
-def list_line(size: int, random: Random) -> bytes:
-    """A whole list in discovery's form, as one line of a watch; one endpoint to each destination."""
-    hosts = [
-        {
-            "host": f"s-{random.getrandbits(32):08x}-{number}",
-            "dial": f"10.{1 + (number >> 16)}.{(number >> 8) & 255}.{number & 255}:6379",
-            "site": ZONES[number % len(ZONES)],
-            "class": "franchisee",
-            "block": number,
-            "health": "SERVING",
-            "share": 1.0,
-            "born_ms": 0,
-        }
-        for number in range(size)
-    ]
-    return json.dumps({"seq": size, "whole": True, "hosts": hosts}, separators=(",", ":")).encode() + b"\n"
-
-
 def settings() -> Settings:
     """A relay of a fleet of 600 with one class of message."""
     seat_status = MessageClass("seat-status", Effect.SAFE, 1_500_000, 6_000_000)
-    return Settings(slots=64, classes=(seat_status,), group_size=600)
+    return Settings(slots=64, classes=(seat_status,), group_size=GROUP)
 
 
 def measure(size: int, seed: int) -> list[Reading]:
-    """Read a whole list and take it into the module in one step."""
-    line = list_line(size, Random(seed))
+    """Take the list in by the driver, by a relay's process and by the module alone.
+
+    The driver comes first: its memory is read in a process that has held no list before.
+    """
+    return [
+        *driver_readings(driver_intake(size, seed)),
+        *process_readings(process_intake(size, seed)),
+        *direct_readings(size, seed),
+    ]
+
+
+def driver_readings(intake: Intake) -> list[Reading]:
+    """What the real driver's loop told; the time is left out where the list never came."""
+    known = [] if intake.seconds is None else [timed("seconds_until_known", intake.seconds)]
+    return [
+        Reading("list_known", float(intake.known)),
+        Reading("most_entries_in_one_step", float(intake.most_entries_in_one_step)),
+        timed("longest_loop_hold_seconds", intake.longest_hold_s),
+        *known,
+        timed("resident_bytes", float(intake.resident_bytes)),
+    ]
+
+
+def process_readings(intake: ProcessIntake) -> list[Reading]:
+    """What the real process and its client told."""
+    known = [] if intake.seconds is None else [timed("real_seconds_until_known", intake.seconds)]
+    return [
+        Reading("real_list_known", float(intake.known)),
+        *known,
+        timed("longest_client_wait_seconds", intake.longest_wait_s),
+        timed("real_resident_bytes", float(intake.resident_bytes)),
+        timed("real_peak_resident_bytes", float(intake.peak_resident_bytes)),
+    ]
+
+
+def direct_readings(size: int, seed: int) -> list[Reading]:
+    """Read a whole list and hand it to the module in one step, with no sockets."""
+    line = endpoints.news_line(size, True, endpoints.entries(size, Random(seed)))
     relay = Relay(settings(), seed)
-    before_bytes, begun_s = resident_bytes(), processor_seconds()
+    begun_s = processor_seconds()
     news = read_list(json.loads(line))
     read_s = processor_seconds() - begun_s
     begun_s = processor_seconds()
     relay.step(0, [Roster(RosterKind.WHOLE, tuple(listed.entry for listed in news.hosts))])
     step_s = processor_seconds() - begun_s
     return [
-        Reading("whole_list_bytes", len(line)),
+        Reading("whole_list_bytes", float(len(line))),
         Reading("fits_one_line", float(len(line) <= MOST_LINE)),
-        Reading("endpoints_known", relay.known),
-        Reading("read_processor_seconds", read_s, Source.TIMED),
-        Reading("longest_step_processor_seconds", step_s, Source.TIMED),
-        Reading("resident_bytes", resident_bytes() - before_bytes, Source.TIMED),
+        Reading("endpoints_known", float(relay.known)),
+        timed("read_processor_seconds", read_s),
+        timed("longest_step_processor_seconds", step_s),
     ]
 
 
+def timed(figure: str, value: float) -> Reading:
+    """A reading that depends on the machine."""
+    return Reading(figure, value, Source.TIMED)
+
+
 SUBJECT = Subject(
     name="endpoint-list",
     about="a relay takes in the whole endpoint list",
