Split the lab's checkers into a package by subject

Need: fleetlab/checks.py had 951 lines for reading a history, eighteen checkers, counts and the result. Change: fleetlab/checks/ has a module each for the run, one message, faults, endings, attempts, destinations, processes, members, leases, counts and the judgement; `from fleetlab.checks import ...` names the same. No rule and no text of a finding is changed.

--- a/fleetlab/report.py
+++ b/fleetlab/report.py
@@ -12,7 +12,7 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
-from fleetlab.checks import Finding, Result, Run, became, partner_of
+from fleetlab.checks import Finding, Result, Run, outcome_of, partner_of
 
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 MOST_MS = 120_000
@@ -94,9 +94,9 @@
     table = []
     for name in run.classes:
         histogram = HdrHistogram(1, MOST_MS, 3)
-        for story in run.stories.values():
-            took_s = story.took_s
-            if story.handed.cls == name and took_s is not None:
+        for trace in run.traces.values():
+            took_s = trace.took_s
+            if trace.handed.cls == name and took_s is not None:
                 histogram.record_value(min(MOST_MS, max(1, round(took_s * 1000))))
         count = histogram.get_total_count()
         values = [str(histogram.get_value_at_percentile(item)) if count else "-" for item in PERCENTILES]
@@ -108,12 +108,12 @@
     """Who did what."""
     table = []
     for relay in run.head.relays:
-        some = [story for story in run.stories.values() if story.handed.relay == relay]
-        ends = Counter(became(story) for story in some)
+        some = [trace for trace in run.traces.values() if trace.handed.relay == relay]
+        ends = Counter(outcome_of(trace) for trace in some)
         calls = sum(attempt.relay == relay for attempt in run.attempts)
         used = run.used.get(relay)
         numbers = [
-            len(run.lives.get(relay, [])), sum(story.taken for story in some), ends["delivered"],
+            len(run.lives.get(relay, [])), sum(trace.taken for trace in some), ends["delivered"],
             ends["refused"], ends["failed"], ends["lost"], calls,
         ]  # fmt: skip
         cost = [f"{used.cpu_s:.1f}", f"{used.peak_mb:.0f}"] if used else ["-", "-"]
@@ -153,11 +153,11 @@
     """Ends by the second in which they came; a lost message stands where its time was up."""
     seconds = range(int(run.over) + 1)
     counts: dict[str, Counter[int]] = {name: Counter() for name in COLOURS}
-    for story in run.stories.values():
-        word = became(story)
-        when = story.deadline if word == "lost" else story.ended
+    for trace in run.traces.values():
+        word = outcome_of(trace)
+        when = trace.deadline if word == "lost" else trace.ended
         if when is None:
-            when = story.heard.t if story.heard is not None else story.handed.t
+            when = trace.heard.t if trace.heard is not None else trace.handed.t
         name = {"delivered": "served", "unanswered": "refused"}.get(word, word)
         if name in counts and 0 <= when <= run.over:
             counts[name][int(when)] += 1
@@ -172,14 +172,14 @@
 
 def hand_line(run: Run, axis: Axes) -> None:
     """Messages that relays had taken and not ended, all together and by relay where they are few."""
-    stories = [story for story in run.stories.values() if story.taken]
+    traces = [trace for trace in run.traces.values() if trace.taken]
     few = run.head.relays if len(run.head.relays) <= FEW else []
     for label in ["all", *few]:
         steps = []
-        for story in stories:
-            if label in ("all", story.handed.relay):
-                ended = story.ended
-                steps += [(story.handed.t, 1), (ended if ended is not None else run.over, -1)]
+        for trace in traces:
+            if label in ("all", trace.handed.relay):
+                ended = trace.ended
+                steps += [(trace.handed.t, 1), (ended if ended is not None else run.over, -1)]
         steps.sort()
         total, times, values = 0, [0.0], [0]
         for t, step in steps:
@@ -194,9 +194,9 @@
 def latency_line(run: Run, axis: Axes) -> None:
     """Each delivery, by when its message first came up."""
     points = [
-        (story.handed.first, max(1e-3, took_s))
-        for story in run.stories.values()
-        if (took_s := story.took_s) is not None
+        (trace.handed.first, max(1e-3, took_s))
+        for trace in run.traces.values()
+        if (took_s := trace.took_s) is not None
     ]
     axis.semilogy([t for t, _ in points], [took for _, took in points], ".", markersize=2.5, color="#33658a")
     axis.set_ylabel("seconds to delivery")
--- a/fleetlab/runs.py
+++ b/fleetlab/runs.py
@@ -184,7 +184,7 @@
 def figures(folder: Path) -> dict[str, float]:
     """What a run comes to, in numbers."""
     run, result, _ = found_in(folder)
-    took_ms = sorted(took_s * 1000 for story in run.stories.values() if (took_s := story.took_s) is not None)
+    took_ms = sorted(took_s * 1000 for trace in run.traces.values() if (took_s := trace.took_s) is not None)
     found: dict[str, float] = dict(result.counts)
     found["broken checks"] = len(failed(result))
     found["worth in aim"] = result.worth
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -89,8 +89,8 @@
     assert len(run.lives["r1"]) == (2 if name in ("kill", "terminate") else 1)
     # The relay that was met serves again: a fault that only looked as if it began would prove nothing.
     met_s = max(fault.t for fault in run.faults if fault.phase == "end")
-    served = [story for story in run.stories.values() if story.handed.relay == "r1" and story.delivered]
-    assert any(story.handed.t > met_s for story in served)
+    served = [trace for trace in run.traces.values() if trace.handed.relay == "r1" and trace.delivered]
+    assert any(trace.handed.t > met_s for trace in served)
     if name == "list-moved":  # each relay has asked at the new address, whose first word is the whole list
         assert all(sum(told.whole for told in run.told[relay]) == 2 for relay in run.head.relays)
     assert not processes(tmp_path)
--- a/tests/lab/test_report.py
+++ b/tests/lab/test_report.py
@@ -64,9 +64,9 @@
     assert "<h1>" in page(run, result, found)
     for name, count, half, *_, most in latencies(run):
         took = sorted(
-            (delivered - story.handed.first) * 1000
-            for story in run.stories.values()
-            if story.handed.cls == name and story.taken and (delivered := story.delivered) is not None
+            (delivered - trace.handed.first) * 1000
+            for trace in run.traces.values()
+            if trace.handed.cls == name and trace.taken and (delivered := trace.delivered) is not None
         )
         assert int(count) == len(took)
         assert int(half) == pytest.approx(took[(len(took) - 1) // 2], abs=2, rel=0.01)
