Wake, stall and restart both simulators' nodes by one class

Need: fleetlab/sim/quorum/node.py and fleetlab/sim/members.py started, armed, woke and stalled their nodes by much the same lines. Change: SimNode in fleetlab/sim/node.py does it for any core with due_us and wake; a node draws its clock's rate, creates its core and carries out what the core asks for. PeersSim and its Plan are as before. The order of random draws and of events is kept.

--- a/fleetlab/sim/members.py
+++ b/fleetlab/sim/members.py
@@ -9,12 +9,11 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
 from random import Random
 
-from fleetlab.sim.world import Network, SimClock, Weather, World
+from fleetlab.sim.node import SimNode
+from fleetlab.sim.world import Network, Weather, World
 from membership.core import SECOND, Peers, Settings
 from membership.messages import Changed, Exchange, Message, Out, Say, State, Update
 
@@ -39,63 +38,37 @@
     by_us: dict[str, int] = field(default_factory=dict)
 
 
-class Node:
+class Node(SimNode[Peers]):
     """One member on its machine."""
 
     def __init__(self, sim: PeersSim, name: str, seeds: tuple[str, ...]) -> None:
-        self.sim, self.name, self._seeds = sim, name, seeds
-        self.core: Peers | None = None
-        self.generation = 0
-        self.stalled_until_us = 0
-        self._woken_us = -1
-
-    def start(self) -> None:
-        """A new life."""
-        if self.core is not None:
-            return
-        self.generation += 1
-        random, world = self.sim.world.random, self.sim.world
-        self.clock = SimClock(world, 1 + random.uniform(-DRIFT, DRIFT), random.randint(0, 10**9))
+        super().__init__(sim.world, name)
+        self.sim, self._seeds = sim, seeds
+
+    def draw_rate(self) -> float:
+        """Within the bound of drift."""
+        return 1 + self.world.random.uniform(-DRIFT, DRIFT)
+
+    def create_core(self) -> Peers:
+        """A member that knows its seeds alone."""
         me = Update(self.name, self.name, "", self.generation, 0, State.ALIVE)
-        self.core = self.sim.plan.core(
-            me, self._seeds, settings=self.sim.plan.settings, random=Random(random.random()),
+        return self.sim.plan.core(
+            me, self._seeds, settings=self.sim.plan.settings, random=Random(self.world.random.random()),
             now_us=self.clock.now_us(),
         )  # fmt: skip
-        self._arm()
 
     def kill(self) -> None:
         """It goes without a word."""
         self.core = None
 
-    def _arm(self) -> None:
-        assert self.core is not None
-        due_us = self.core.due_us
-        if due_us != self._woken_us:
-            self._woken_us = due_us
-            self.sim.world.at(self.clock.true_us(due_us), partial(self._wake, self.generation, due_us))
-
-    def _wake(self, generation: int, due_us: int) -> None:
-        if self.core is not None and generation == self.generation and due_us == self._woken_us:
-            self._woken_us = -1
-            self.do(lambda core, now_us: core.wake(now_us))
-
-    def do(self, step: Callable[[Peers, int], list[Out]]) -> None:
-        """One step, once it does not stand still, and what follows from it."""
-        if self.core is None:
-            return
-        if self.stalled_until_us > self.sim.world.now_us:
-            generation = self.generation
-            self.sim.world.at(
-                self.stalled_until_us, lambda: self.do(step) if generation == self.generation else None
-            )
-            return
-        for item in step(self.core, self.clock.now_us()):
+    def carry_out(self, actions: list[Out]) -> None:
+        """Send what it says, and note what it holds."""
+        for item in actions:
             match item:
                 case Say():
                     self.sim.said(self.name, item.to, item.message)
                 case Changed():
                     self.sim.changed(self.name, item)
-        self._arm()
 
 
 class PeersSim:
--- a/fleetlab/sim/quorum/adversary.py
+++ b/fleetlab/sim/quorum/adversary.py
@@ -93,7 +93,7 @@
 
     def _leader_alone(self, random: Random) -> None:
         """The leader is cut from the other members and not from clients, now and then in one direction."""
-        leaders = [node.name for node in self.nodes.values() if node.member and node.member.raft.leading]
+        leaders = [node.name for node in self.nodes.values() if node.core and node.core.raft.leading]
         for name in leaders:
             ways = {(name, other) for other in self.names if other != name}
             if random.random() < 0.7:
@@ -119,7 +119,7 @@
 
     def _stall(self, random: Random) -> None:
         """A member, most often the leader, stands still and goes on where it was."""
-        leaders = [node for node in self.nodes.values() if node.member and node.member.raft.leading]
+        leaders = [node for node in self.nodes.values() if node.core and node.core.raft.leading]
         node = random.choice(leaders or list(self.nodes.values()))
         for_us = random.randint(SECOND // 10, SECOND)
         node.stalled_until_us = self.world.now_us + for_us
@@ -160,7 +160,7 @@
     def _well_without(self, node: Node) -> bool:
         """Whether all other members are up, follow one of them, lag in nothing, and nothing holds them up."""
         others = [other for other in self.nodes.values() if other is not node]
-        rafts = [other.member.raft for other in others if other.member]
+        rafts = [other.core.raft for other in others if other.core]
         if len(rafts) < len(others) or len({raft.leader for raft in rafts}) != 1:
             return False
         if rafts[0].leader not in {other.name for other in others}:
@@ -200,7 +200,7 @@
     def _change(self, random: Random) -> None:
         """A member is taken out, or one that is out comes back."""
         for node in self.nodes.values():
-            member = node.member
+            member = node.core
             if member is None or member.raft.role is not Role.LEADER:
                 continue
             now = member.raft.members
--- a/fleetlab/sim/quorum/judge.py
+++ b/fleetlab/sim/quorum/judge.py
@@ -70,13 +70,13 @@
     def check_members(self, nodes: Iterable[Node]) -> None:
         """Rules on all members together, after a step of one."""
         self._steps += 1
-        living = [node for node in nodes if node.member is not None]
+        living = [node for node in nodes if node.core is not None]
         if self._steps % LOG_LOOK == 0:
             self._check_matching(living)
         for node in living:
-            assert node.member is not None
-            if node.member.raft.role is Role.LEADER:
-                self._check_complete(node.name, node.member.raft)
+            assert node.core is not None
+            if node.core.raft.role is Role.LEADER:
+                self._check_complete(node.name, node.core.raft)
 
     def _check_complete(self, name: str, raft: Raft) -> None:
         """A leader has every entry that was committed in an older term (paper, figure 3)."""
@@ -93,7 +93,7 @@
 
     def _check_matching(self, nodes: list[Node]) -> None:
         """Logs that agree on an entry agree on all before it."""
-        logs = [(node.name, node.member.raft.log) for node in nodes if node.member is not None]
+        logs = [(node.name, node.core.raft.log) for node in nodes if node.core is not None]
         for at, (name, log) in enumerate(logs):
             for other_name, other in logs[at + 1 :]:
                 low = max(log.first, other.first)
--- a/fleetlab/sim/quorum/simulation.py
+++ b/fleetlab/sim/quorum/simulation.py
@@ -43,7 +43,7 @@
 
     def applied(self, name: str, action: Committed, machine: Machine) -> None:
         """A member has applied an entry."""
-        member = self.nodes[name].member
+        member = self.nodes[name].core
         assert member is not None
         self.judge.applied(name, member.raft.term, action, machine.snapshot)
         self.counts["applied"] += 1
@@ -52,7 +52,7 @@
 
     def _deliver(self, sender: str, to: str, item: tuple[Life, Claim, Message]) -> None:
         node, (life, claim, message) = self.nodes[to], item
-        if node.member is None:
+        if node.core is None:
             return
         if node.lives.refusal(sender, life, claim):
             self.counts["not listened to"] += 1
@@ -175,6 +175,6 @@
         self.adversary.end()
         before = self.counts["applied"]
         self.world.run(self.world.now_us + SETTLED_S * SECOND)
-        leaders = [n.name for n in self.nodes.values() if n.member and n.member.raft.role is Role.LEADER]
+        leaders = [n.name for n in self.nodes.values() if n.core and n.core.raft.role is Role.LEADER]
         if len(leaders) != 1 or self.counts["applied"] == before:
             raise BrokenError("stuck", f"{SETTLED_S} s after all faults: leaders {leaders}")
