Test the intake of the endpoint list by counts, with a planted quadratic

Need: the subject had no test of its own, and nothing told how often entries are handed to the module or what a directory writes for a list that never arrives. Change: readings entries_handed and real_written_bytes; the hollow directory's process takes its orders by a module of its own, which other hollow parts can use. Tests: each entry is handed in once at any size, a driver that resends the whole view for each entry is found by the same assertion, a list in pieces is read right, a list that never comes ends as known to nobody.

--- a/fleetlab/scale/directory.py
+++ b/fleetlab/scale/directory.py
@@ -1,7 +1,7 @@
 """A hollow directory in a process of its own: one list, watches on it, and counts of what it wrote.
 
-``python -m fleetlab.scale.directory SIZE SEED`` listens on loopback and takes orders as JSON lines on its
-standard input. It answers each with its counts as one JSON line, and ends with its input.
+``python -m fleetlab.scale.directory SIZE SEED`` listens on loopback and takes orders on its standard input
+(``fleetlab.scale.child``); the answer to each is its counts.
 
 It tells the same lines as ``standins.platform``, each encoded once for all watches. Unlike that stand-in it
 answers a watch by the changes after the version asked for, as the protocol's page allows.
@@ -10,21 +10,19 @@
 from __future__ import annotations
 
 import asyncio
-import subprocess
 import sys
 from random import Random
-from types import TracebackType
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
 from fleetlab.scale import endpoints
-from fleetlab.scale.records import ScaleError
+from fleetlab.scale.child import Child, carry_out
+from fleetlab.scale.process import processor_seconds
 from standins import http
 from standins.platform import BEAT_S, Entry, chunk
 
 LOOPBACK = "127.0.0.1"
-STOP_S = 5.0  # s for the process to end by itself
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HOSTS = "/discovery/hosts"
 
@@ -62,11 +60,7 @@
     open_watches: int = 0  # now
     lines: int = 0  # of news, written to watches
     line_bytes: int = 0  # of these lines
-
-
-ORDERS = msgspec.json.Decoder(Order)
-COUNTS = msgspec.json.Decoder(Counts)
-ENCODE = msgspec.json.Encoder().encode
+    processor_seconds: float = 0.0  # that the process used
 
 
 class Directory:
@@ -76,17 +70,21 @@
         self._entries = endpoints.entries(size, Random(seed))
         self._seq = size
         self._changes: list[tuple[int, Entry]] = []  # version and what changed with it
-        self._whole = endpoints.news_line(self._seq, True, self._entries)
+        self._whole: bytes | None = None  # of the present version, once a watch asked for it
         self._watches: set[asyncio.StreamWriter] = set()
         self._up, self._resumes = True, True
         self._listener = http.Listener(LOOPBACK, self._serve)
-        self._counts = Counts(list_bytes=len(self._whole))
+        self._counts = Counts(list_bytes=len(self._whole_line()))
 
     async def start(self) -> None:
         """Listen on a port of the system's choice."""
         await self._listener.start()
         self._counts.port = self._listener.port
 
+    def close(self) -> None:
+        """Refuse new connections and break the open ones."""
+        self._listener.stop()
+
     async def beat(self) -> None:
         """Keep watches from falling silent, for good."""
         while True:
@@ -107,6 +105,7 @@
             case Tell():
                 pass
         self._counts.open_watches = len(self._watches)
+        self._counts.processor_seconds = processor_seconds()
         return self._counts
 
     def _change(self, entry: Entry, health: str) -> None:
@@ -116,7 +115,7 @@
         line = endpoints.news_line(self._seq, False, [entry])
         for writer in self._watches:
             self._write(writer, line)
-        self._whole = endpoints.news_line(self._seq, True, self._entries)
+        self._whole = None
 
     def _end_watches(self) -> None:
         for writer in self._watches:
@@ -145,46 +144,23 @@
         finally:
             self._watches.discard(writer)
 
+    def _whole_line(self) -> bytes:
+        """The whole list in its present version, encoded once for all watches."""
+        if self._whole is None:
+            self._whole = endpoints.news_line(self._seq, True, self._entries)
+        return self._whole
+
     def _first_line(self, version: int) -> bytes:
         """What a watch from this version is told first."""
         if not self._resumes or version < len(self._entries):
-            return self._whole
+            return self._whole_line()
         changed = {entry.host: entry for seq, entry in self._changes if seq > version}
         return endpoints.news_line(self._seq, False, list(changed.values()))
 
 
-class DirectoryProcess:
-    """A hollow directory's process, as seen by who measures; it ends with the ``with`` block."""
-
-    def __init__(self, size: int, seed: int) -> None:
-        command = [sys.executable, "-m", "fleetlab.scale.directory", str(size), str(seed)]
-        self._process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-
-    def __enter__(self) -> DirectoryProcess:
-        self.port = self.order(Tell()).port
-        return self
-
-    def __exit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
-    ) -> None:
-        assert self._process.stdin is not None and self._process.stdout is not None
-        self._process.stdin.close()
-        try:
-            self._process.wait(STOP_S)
-        except subprocess.TimeoutExpired:
-            self._process.kill()
-            self._process.wait()
-        self._process.stdout.close()
-
-    def order(self, order: Order) -> Counts:
-        """Have an order carried out; the counts after it, or ``ScaleError`` where the process is gone."""
-        assert self._process.stdin is not None and self._process.stdout is not None
-        try:
-            self._process.stdin.write(ENCODE(order) + b"\n")
-            self._process.stdin.flush()
-            return COUNTS.decode(self._process.stdout.readline())
-        except (OSError, msgspec.DecodeError) as error:
-            raise ScaleError(f"the hollow directory does not answer: {error}") from None
+def directory_process(size: int, seed: int) -> Child[Counts]:
+    """A hollow directory of its own process."""
+    return Child("fleetlab.scale.directory", [str(size), str(seed)], Counts)
 
 
 async def serve(size: int, seed: int) -> None:
@@ -192,11 +168,7 @@
     directory = Directory(size, seed)
     await directory.start()
     beat = asyncio.create_task(directory.beat())
-    orders = asyncio.StreamReader()
-    loop = asyncio.get_running_loop()
-    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(orders), sys.stdin)
-    while line := await orders.readline():
-        print(ENCODE(directory.obey(ORDERS.decode(line))).decode(), flush=True)
+    await carry_out(Order, directory.obey)
     beat.cancel()
 
 
--- a/fleetlab/scale/intake.py
+++ b/fleetlab/scale/intake.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from fleetlab.scale.directory import DirectoryProcess
+from fleetlab.scale.child import Child
+from fleetlab.scale.directory import Counts, Tell, directory_process
 from fleetlab.scale.process import resident_bytes
 from fleetlab.scale.turns import TurnSelector
 from mallowlug.config import Config, load
@@ -38,6 +39,7 @@
 
     known: int  # endpoints known to the module at the end
     seconds: float | None  # until all were known; None: never
+    entries_handed: int  # to the module, in all steps
     most_entries_in_one_step: int  # of the module
     longest_hold_s: float  # of the event loop
     resident_bytes: int  # grown meanwhile
@@ -52,6 +54,7 @@
     longest_wait_s: float  # of a client for its answer
     resident_bytes: int  # of the whole process at the end
     peak_resident_bytes: int
+    written_bytes: int  # lines of news that the directory wrote for it
 
 
 class RelayWorld(World):
@@ -104,22 +107,26 @@
         return None
 
 
-def driver_intake(size: int, seed: int) -> Intake:
+def driver_intake(size: int, seed: int, driver_type: type[CountingDriver] = CountingDriver) -> Intake:
     """Have the real driver fetch the list from a hollow directory, in a loop whose turns are timed."""
     turns = TurnSelector()
     with (
-        DirectoryProcess(size, seed) as directory,
+        directory_process(size, seed) as directory,
         tempfile.TemporaryDirectory(prefix="scale-") as folder,
         asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner,
     ):
-        return runner.run(_drive(RelayWorld(Path(folder), directory.port), size, turns))
+        return runner.run(
+            _drive(RelayWorld(Path(folder), directory.order(Tell()).port), size, turns, driver_type)
+        )
 
 
-async def _drive(world: RelayWorld, size: int, turns: TurnSelector) -> Intake:
+async def _drive(
+    world: RelayWorld, size: int, turns: TurnSelector, driver_type: type[CountingDriver]
+) -> Intake:
     await world.start()
     config = load(world.environment())
     journal = Journal(config.state, config.disk_bytes)
-    driver = CountingDriver(config, journal)
+    driver = driver_type(config, journal)
     try:
         before_bytes = resident_bytes()
         turns.restart()
@@ -128,6 +135,7 @@
         return Intake(
             known=driver.module.known,
             seconds=seconds,
+            entries_handed=driver.module.entries_taken,
             most_entries_in_one_step=driver.module.most_entries_in_one_step,
             longest_hold_s=turns.longest_s,
             resident_bytes=resident_bytes() - before_bytes,
@@ -140,13 +148,14 @@
 def process_intake(size: int, seed: int) -> ProcessIntake:
     """Start a real relay beside a hollow directory, and ask it as a client all the while."""
     with (
-        DirectoryProcess(size, seed) as directory,
+        directory_process(size, seed) as directory,
         tempfile.TemporaryDirectory(prefix="scale-") as folder,
     ):
-        return asyncio.run(_attend(RelayWorld(Path(folder), directory.port), size))
+        return asyncio.run(_attend(Path(folder), directory, size))
 
 
-async def _attend(world: RelayWorld, size: int) -> ProcessIntake:
+async def _attend(folder: Path, directory: Child[Counts], size: int) -> ProcessIntake:
+    world = RelayWorld(folder, directory.order(Tell()).port)
     await world.start()
     try:
         client = await world.run()
@@ -165,6 +174,7 @@
             longest_wait_s=await questions,
             resident_bytes=used.memory_kb * KIB,
             peak_resident_bytes=used.peak_memory_kb * KIB,
+            written_bytes=directory.order(Tell()).line_bytes,
         )
     finally:
         await world.stop()
--- a/fleetlab/scale/subjects/endpoint_list.py
+++ b/fleetlab/scale/subjects/endpoint_list.py
@@ -40,6 +40,7 @@
     known = [] if intake.seconds is None else [timed("seconds_until_known", intake.seconds)]
     return [
         Reading("list_known", float(intake.known)),
+        Reading("entries_handed", float(intake.entries_handed)),
         Reading("most_entries_in_one_step", float(intake.most_entries_in_one_step)),
         timed("longest_loop_hold_seconds", intake.longest_hold_s),
         *known,
@@ -53,6 +54,7 @@
     return [
         Reading("real_list_known", float(intake.known)),
         *known,
+        timed("real_written_bytes", float(intake.written_bytes)),
         timed("longest_client_wait_seconds", intake.longest_wait_s),
         timed("real_resident_bytes", float(intake.resident_bytes)),
         timed("real_peak_resident_bytes", float(intake.peak_resident_bytes)),
