Measure watchers of a list: changes, and their return after the directory was down

Need: what a change and a return of all watchers cost a directory of 5 to 600 relays was a guess. Watchers are the real Watch, many to a process, on a hollow directory that can answer by the version asked for, as the protocol allows and the stand-in platform does not. Tests: one line a watcher and change, bytes that grow with the fleet and not with the list; a directory that resends the whole list is found.

--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -4,9 +4,11 @@
 
 from fleetlab.scale.records import ScaleError
 from fleetlab.scale.subject import Subject
-from fleetlab.scale.subjects import endpoint_list
+from fleetlab.scale.subjects import endpoint_list, watchers
 
-SUBJECTS = {subject.name: subject for subject in (endpoint_list.SUBJECT,)}
+SUBJECTS = {
+    subject.name: subject for subject in (endpoint_list.SUBJECT, watchers.SUBJECT, watchers.LONG_LIST_SUBJECT)
+}
 
 
 def subject_named(name: str) -> Subject:
--- /dev/null
+++ b/fleetlab/scale/watching.py
@@ -0,0 +1,114 @@
+"""Hollow watchers, many to a process: the real ``Watch`` of a relay, with nothing behind it.
+
+``python -m fleetlab.scale.watching PORT COUNT VERSION`` starts that many, each at that version of the list,
+and takes orders on its standard input (``fleetlab.scale.child``).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+import time
+
+import msgspec
+
+from fleetlab.scale.child import Child, carry_out
+from mallowlug.discovery import HostList, Watch
+from mallowlug.http import Address
+from mossfront.brain import ASK_US
+
+ASK_S = ASK_US / 1e6  # s before a broken watch is asked for again: the module's first gap, without its draw
+AT_ONCE = 10  # watchers that come up together at the start
+LOOK_S = 0.01  # s between looks whether they are up
+LOOPBACK = "127.0.0.1"
+
+
+class Reached(msgspec.Struct, frozen=True, tag="reached"):
+    """An order: tell how many watchers have this version or a newer one."""
+
+    version: int
+
+
+class Watched(msgspec.Struct, frozen=True):
+    """What the watchers of a process have heard so far."""
+
+    reached: int  # watchers that have the version
+    last_heard_s: float  # of the machine's monotonic clock: when the last line came to any
+    lines: int
+    entries: int
+    broken: int  # watches that ended, for whatever reason
+
+
+class Watcher:
+    """One watcher; it comes back by itself after its watch broke."""
+
+    def __init__(self, address: Address, version: int) -> None:
+        self.watch = Watch(address, version, self._told, self._failed)
+        self._again: asyncio.TimerHandle | None = None
+        self.heard_s = 0.0
+        self.lines = self.entries = self.broken = 0
+
+    def _told(self, news: HostList) -> None:
+        self.heard_s = time.monotonic()
+        self.lines += 1
+        self.entries += len(news.hosts)
+
+    def _failed(self) -> None:
+        self.broken += 1
+        self._again = asyncio.get_running_loop().call_later(ASK_S, self.watch.subscribe)
+
+    def close(self) -> None:
+        """Stop watching."""
+        if self._again is not None:
+            self._again.cancel()
+        self.watch.close()
+
+
+class Watchers:
+    """All watchers of one process."""
+
+    def __init__(self, address: Address, count: int, version: int) -> None:
+        self._all = [Watcher(address, version) for _ in range(count)]
+
+    async def start(self) -> None:
+        """Bring them up some at a time: only a return is to be a rush."""
+        for first in range(0, len(self._all), AT_ONCE):
+            some = self._all[first : first + AT_ONCE]
+            for watcher in some:
+                watcher.watch.subscribe()
+            while not all(watcher.lines for watcher in some):
+                await asyncio.sleep(LOOK_S)
+
+    def close(self) -> None:
+        """Stop watching."""
+        for watcher in self._all:
+            watcher.close()
+
+    def obey(self, order: Reached) -> Watched:
+        """Tell what was heard."""
+        return Watched(
+            reached=sum(1 for w in self._all if w.lines and w.watch.seq >= order.version),
+            last_heard_s=max(w.heard_s for w in self._all),
+            lines=sum(w.lines for w in self._all),
+            entries=sum(w.entries for w in self._all),
+            broken=sum(w.broken for w in self._all),
+        )
+
+
+def watching_process(port: int, count: int, version: int) -> Child[Watched]:
+    """Hollow watchers of a process of their own."""
+    return Child("fleetlab.scale.watching", [str(port), str(count), str(version)], Watched)
+
+
+async def serve(port: int, count: int, version: int) -> None:
+    """Watch and carry out orders until the input ends."""
+    watchers = Watchers((LOOPBACK, port), count, version)
+    start = asyncio.create_task(watchers.start())
+    await carry_out(Reached, watchers.obey)
+    start.cancel()
+
+
+if __name__ == "__main__":
+    logging.disable(logging.WARNING)  # a watch that ends is expected here, and counted
+    asyncio.run(serve(*(int(argument) for argument in sys.argv[1:4])))
--- /dev/null
+++ b/tests/scale/test_watchers.py
@@ -0,0 +1,102 @@
+"""A directory and its watchers: lines and bytes of a change and of a return, by watchers and by list."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fleetlab.scale.directory import LOOPBACK, Change, Counts, Directory, Tell
+from fleetlab.scale.fit import exponent
+from fleetlab.scale.records import Reading, Source
+from fleetlab.scale.subjects import watchers
+from fleetlab.scale.watching import Reached, Watchers
+from standins.platform import Entry
+from standins.scripted import soon
+
+SIZES = (5, 10, 20)
+SEED = 1
+DOWN_S = 0.1  # s
+LOOK_S = 0.005  # s between looks
+
+
+class WholeListDirectory(Directory):
+    """Tells the whole list with each change: quadratic in a fleet whose list grows with it."""
+
+    def _change(self, entry: Entry, health: str) -> None:
+        super()._change(entry, health)
+        for writer in self._watches:
+            self._write(writer, self._whole_line())
+
+
+async def change_counts(size: int, listed: int, directory_type: type[Directory] = Directory) -> Counts:
+    """What a directory writes to that many watchers for one change."""
+    directory = directory_type(listed, SEED)
+    await directory.start()
+    some = Watchers((LOOPBACK, directory.obey(Tell()).port), size, 0)
+    await soon(some.start())
+    before = directory.obey(Tell())
+    lines, line_bytes = before.lines, before.line_bytes
+    after = directory.obey(Change(0, "DRAINING"))
+    await soon(reached(some, size, listed + 1))
+    some.close()
+    directory.close()
+    return Counts(lines=after.lines - lines, line_bytes=after.line_bytes - line_bytes)
+
+
+async def reached(some: Watchers, size: int, version: int) -> None:
+    """Wait until all have a version."""
+    while some.obey(Reached(version)).reached < size:
+        await asyncio.sleep(LOOK_S)
+
+
+async def check_change_is_linear(directory_type: type[Directory]) -> None:
+    """The bytes of a change grow no faster than a fleet that has as many endpoints as watchers."""
+    points = [(size, float((await change_counts(size, size, directory_type)).line_bytes)) for size in SIZES]
+    assert exponent(points) <= 1.1
+
+
+async def test_the_bytes_of_a_change_grow_with_the_fleet() -> None:
+    await check_change_is_linear(Directory)
+
+
+async def test_a_directory_that_tells_the_whole_list_with_each_change_is_found() -> None:
+    with pytest.raises(AssertionError):
+        await check_change_is_linear(WholeListDirectory)
+
+
+async def test_a_change_is_one_line_to_each_watcher_however_long_the_list_is() -> None:
+    short, long = await change_counts(5, 20), await change_counts(5, 400)
+    assert short.lines == long.lines == 5
+    assert long.line_bytes < 1.1 * short.line_bytes
+
+
+@pytest.fixture(autouse=True)
+def one_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Few watchers need no more, and each process takes its time to start."""
+    monkeypatch.setattr(watchers, "PROCESSES", 1)
+
+
+def measured(size: int, listed: int, whole: bool = True) -> dict[str, Reading]:
+    """The subject's readings by figure."""
+    readings = watchers.measure(size, SEED, listed, DOWN_S, whole)
+    return {reading.figure: reading for reading in readings}
+
+
+def test_watchers_in_processes_return_by_version_and_by_the_whole_list() -> None:
+    short, long = measured(4, 20), measured(8, 40)
+    assert short["change_lines"].value == 4
+    assert long["change_lines"].value == 8
+    for how in ("resumed", "whole"):
+        assert short[f"return_{how}_watches"].value == short[f"return_{how}_lines"].value == 4
+        assert short[f"return_{how}_bytes"].source is Source.COUNT
+    twice = 2 * short["return_resumed_bytes"].value
+    assert twice * 0.95 < long["return_resumed_bytes"].value < twice * 1.1
+    assert long["return_whole_bytes"].value > 3.5 * short["return_whole_bytes"].value
+
+
+def test_watchers_that_start_at_a_version_never_ask_for_the_whole_list() -> None:
+    readings = measured(3, 400, whole=False)
+    assert readings["return_resumed_watches"].value == 3
+    assert readings["return_resumed_bytes"].value < 3 * 1000
+    assert "return_whole_bytes" not in readings
