Measure a relay with up to 31,000 destinations, some of them down

Need: what a message costs a relay as destinations grow, and who gets its slots while 2.2% of them are down, was not known. Change: hollow relays (the decision module in simulated time, a step a round as in the service), tables that count looks, and three subjects: destinations, destinations-without-cancel, destinations-few-slots.

--- /dev/null
+++ b/fleetlab/scale/looks.py
@@ -0,0 +1,60 @@
+"""A dict that counts how many of its items are looked at."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING, Any, TypeVar
+
+if TYPE_CHECKING:
+    from _collections_abc import dict_items, dict_keys, dict_values
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class CountedDict(dict[K, V]):
+    """Behaves as the dict that it copies; ``looks`` is the sum of look-ups, and of items walked over.
+
+    A walk counts as a look at every item when it begins, also where it is broken off.
+    """
+
+    def __init__(self, items: Mapping[K, V]) -> None:
+        super().__init__(items)
+        self.looks = 0
+
+    def __getitem__(self, key: K) -> V:
+        self.looks += 1
+        return super().__getitem__(key)
+
+    def __contains__(self, key: object) -> bool:
+        self.looks += 1
+        return super().__contains__(key)
+
+    def get(self, key: K, default: Any = None) -> Any:
+        """As in a dict; one look."""
+        self.looks += 1
+        return super().get(key, default)
+
+    def setdefault(self, key: K, default: Any = None) -> Any:
+        """As in a dict; one look."""
+        self.looks += 1
+        return super().setdefault(key, default)
+
+    def __iter__(self) -> Iterator[K]:
+        self.looks += len(self)
+        return super().__iter__()
+
+    def keys(self) -> dict_keys[K, V]:
+        """As in a dict; a look at every item."""
+        self.looks += len(self)
+        return super().keys()
+
+    def values(self) -> dict_values[K, V]:
+        """As in a dict; a look at every item."""
+        self.looks += len(self)
+        return super().values()
+
+    def items(self) -> dict_items[K, V]:
+        """As in a dict; a look at every item."""
+        self.looks += len(self)
+        return super().items()
--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -4,11 +4,21 @@
 
 from fleetlab.scale.records import ScaleError
 from fleetlab.scale.subject import Subject
-from fleetlab.scale.subjects import endpoint_list, watchers
+from fleetlab.scale.subjects import (
+    destinations,
+    endpoint_list,
+    watchers,
+)
 
-SUBJECTS = {
-    subject.name: subject for subject in (endpoint_list.SUBJECT, watchers.SUBJECT, watchers.LONG_LIST_SUBJECT)
-}
+ALL_SUBJECTS = (
+    endpoint_list.SUBJECT,
+    watchers.SUBJECT,
+    watchers.LONG_LIST_SUBJECT,
+    destinations.SUBJECT,
+    destinations.WITHOUT_CANCEL,
+    destinations.FEW_SLOTS,
+)
+SUBJECTS = {subject.name: subject for subject in ALL_SUBJECTS}
 
 
 def subject_named(name: str) -> Subject:
--- /dev/null
+++ b/fleetlab/scale/traffic.py
@@ -0,0 +1,290 @@
+"""Hollow relays in simulated time: the real decision module, with simulated destinations in place of sockets.
+
+As in the service, a relay's events are collected and put before the module once a round.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import Protocol
+
+from fleetlab.scale.process import processor_seconds
+from mossfront.brain import Relay
+from mossfront.interface import (
+    Action,
+    Arrival,
+    Cancel,
+    Effect,
+    Entry,
+    Event,
+    Fail,
+    Listing,
+    MessageClass,
+    Outcome,
+    Refuse,
+    Roster,
+    RosterKind,
+    Send,
+    TimerDue,
+    Verdict,
+    Wake,
+)
+
+SECOND_US = 1_000_000
+CONNECT_FAILED_US, REFUSED_US = 20_000, 30_000  # us that a failed connection and a refusal take
+USUAL_US, SPREAD = (
+    180_000,
+    0.5,
+)  # of answers: the median, and the deviation of the logarithm; 204 ms on average
+ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
+STATUS = MessageClass("status", Effect.SAFE, 1_500_000, 6_000_000)
+ORDER = MessageClass("order", Effect.KEYED, 3_000_000, 16_000_000, 2.0, 0.5, window_us=15_000_000)
+PAYMENT = MessageClass("payment", Effect.UNSAFE, 2_000_000, 28_000_000, 4.0, 0.3)
+CLASSES, PARTS = (STATUS, ORDER, PAYMENT), (6, 3, 1)  # and in which parts messages come
+
+
+class Fault(Enum):
+    """How a destination that is down fails calls."""
+
+    CONNECT_FAILS = "connect_fails"
+    HANGS = "hangs"
+    REFUSES = "refuses"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a call ends, and after how long."""
+
+    verdict: Verdict
+    took_us: int
+
+
+class Destinations(Protocol):
+    """What hollow relays call."""
+
+    def answer(self, host: str, now_us: int, limit_us: int) -> Answer:
+        """How a call that begins now will end; ``limit_us`` after its start it is given up."""
+
+    def is_down(self, host: str, now_us: int) -> bool:
+        """Whether a call that begins now is wasted."""
+
+
+class Simulation:
+    """Simulated time, and what is to happen in it."""
+
+    def __init__(self) -> None:
+        self.now_us = 0
+        self._serial = itertools.count()
+        self._due: list[tuple[int, int, Callable[[], None]]] = []
+
+    def at(self, at_us: int, act: Callable[[], None]) -> None:
+        """Call ``act`` at that time; what is due at the same time is called in the order given."""
+        heapq.heappush(self._due, (at_us, next(self._serial), act))
+
+    def run(self, until_us: int) -> None:
+        """Let time pass up to then."""
+        while self._due and self._due[0][0] < until_us:
+            self.now_us, _, act = heapq.heappop(self._due)
+            act()
+        self.now_us = until_us
+
+
+@dataclass(slots=True)
+class Taken:
+    """A message that a relay took in and has not ended."""
+
+    cls: MessageClass
+    host: str
+    at_us: int
+    attempts: int = 0
+
+
+@dataclass(slots=True)
+class Counts:
+    """What became of a relay's messages and calls."""
+
+    taken: int = 0
+    taken_down: int = 0  # of them, for a destination that was down then
+    delivered: int = 0
+    refused: int = 0
+    failed: int = 0
+    calls: int = 0
+    wasted_calls: int = 0  # of them, at destinations that were down
+    wasted_slot_us: int = 0  # us that they held slots
+    most_wasted: int = 0  # of them out at once
+    cancels: int = 0
+    due_healthy: int = 0  # messages for healthy destinations whose aim has passed
+    on_time: int = 0  # of them, those delivered by then
+    steps: int = 0
+
+
+@dataclass(slots=True)
+class Timing:
+    """Processor time in the module; the first list that it takes in is left out."""
+
+    seconds: float = 0.0
+    longest_step_s: float = 0.0
+
+
+class HollowRelay:
+    """The decision module with its timers, its messages and its calls, and no work behind them."""
+
+    def __init__(self, simulation: Simulation, module: Relay, destinations: Destinations) -> None:
+        self.module, self.counts, self.timing = module, Counts(), Timing()
+        self.on_step: Callable[[], None] = lambda: None  # called after each step
+        self._simulation, self._destinations = simulation, destinations
+        self._taken: dict[str, Taken] = {}
+        self._out: dict[tuple[str, int], int] = {}  # by message and attempt: when a call began
+        self._wasted_out = 0
+        self._on_time: set[str] = set()  # delivered, and their aim has not passed
+        self._inbox: list[Event] = []
+        self._next_us, self._scheduled = 0, False
+
+    @property
+    def held(self) -> int:
+        """Messages that have not ended."""
+        return len(self._taken)
+
+    def load(self, entries: tuple[Entry, ...]) -> None:
+        """Take in the whole list at once."""
+        self._carry_out(self.module.step(self._simulation.now_us, [Roster(RosterKind.WHOLE, entries)]))
+
+    def take(self, name: str, entry: Entry, cls: MessageClass) -> None:
+        """Take in a message."""
+        now_us = self._simulation.now_us
+        self._taken[name] = Taken(cls, entry.host, now_us)
+        self.counts.taken += 1
+        if self._destinations.is_down(entry.host, now_us):
+            self.counts.taken_down += 1
+        else:
+            self._simulation.at(now_us + cls.aim_us, lambda: self._aim_passed(name))
+        self._post(Arrival(name, entry.dest, cls.name, cls.deadline_us))
+
+    def stop(self) -> None:
+        """Count the slot time of calls that are still out."""
+        now_us = self._simulation.now_us
+        for (name, _), begun_us in self._out.items():
+            if name in self._taken and self._destinations.is_down(self._taken[name].host, begun_us):
+                self.counts.wasted_slot_us += now_us - begun_us
+
+    def _aim_passed(self, name: str) -> None:
+        self.counts.due_healthy += 1
+        if name in self._on_time:
+            self._on_time.remove(name)
+            self.counts.on_time += 1
+
+    def _post(self, event: Event) -> None:
+        """Put an event before the module at its next step, one round after the last at the earliest."""
+        self._inbox.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            self._simulation.at(max(self._simulation.now_us, self._next_us), self._step)
+
+    def _step(self) -> None:
+        now_us = self._simulation.now_us
+        self._scheduled, self._next_us = False, now_us + self.module.set.round_us
+        events, self._inbox = self._inbox, []
+        begun_s = processor_seconds()
+        actions = self.module.step(now_us, events)
+        took_s = processor_seconds() - begun_s
+        self.timing.seconds += took_s
+        self.timing.longest_step_s = max(self.timing.longest_step_s, took_s)
+        self.counts.steps += 1
+        self._carry_out(actions)
+        self.on_step()
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    self._call(action)
+                case Wake():
+                    due_us = self._simulation.now_us + action.delay_us
+                    self._simulation.at(due_us, lambda: self._post(TimerDue()))
+                case Cancel():
+                    self._cancel(action)
+                case Refuse():
+                    self.counts.refused += self._taken.pop(action.id, None) is not None
+                case Fail():
+                    self.counts.failed += self._taken.pop(action.id, None) is not None
+
+    def _call(self, send: Send) -> None:
+        now_us, message = self._simulation.now_us, self._taken[send.id]
+        attempt, message.attempts = message.attempts, message.attempts + 1
+        self._out[send.id, attempt] = now_us
+        self.counts.calls += 1
+        if self._destinations.is_down(send.host, now_us):
+            self.counts.wasted_calls += 1
+            self._wasted_out += 1
+            self.counts.most_wasted = max(self.counts.most_wasted, self._wasted_out)
+        answer = self._destinations.answer(send.host, now_us, send.limit_us)
+        end_us = now_us + answer.took_us
+        self._simulation.at(end_us, lambda: self._ended(send.id, attempt, send.host, answer.verdict))
+
+    def _cancel(self, action: Cancel) -> None:
+        self.counts.cancels += 1
+        host = self._taken[action.id].host
+        self._ended(action.id, action.attempt, host, Verdict.CANCELLED)
+
+    def _ended(self, name: str, attempt: int, host: str, verdict: Verdict) -> None:
+        if (begun_us := self._out.pop((name, attempt), None)) is None:  # it was cancelled before
+            return
+        now_us, served = self._simulation.now_us, verdict is Verdict.OK
+        if self._destinations.is_down(host, begun_us):
+            self.counts.wasted_slot_us += now_us - begun_us
+            self._wasted_out -= 1
+        if served and (message := self._taken.pop(name, None)) is not None:
+            self.counts.delivered += 1
+            healthy = not self._destinations.is_down(host, message.at_us)
+            if healthy and now_us <= message.at_us + message.cls.aim_us:
+                self._on_time.add(name)
+        self._post(Outcome(name, attempt, host, verdict, now_us - begun_us, served))
+
+
+class Feed:
+    """Messages that come to a relay at random times, for destinations drawn evenly from the list."""
+
+    def __init__(
+        self, simulation: Simulation, relay: HollowRelay, entries: tuple[Entry, ...], per_s: float, seed: int
+    ) -> None:
+        self._simulation, self._relay, self._entries = simulation, relay, entries
+        self._per_s, self._random, self._serial = per_s, Random(seed), itertools.count()
+        self._plan()
+
+    def _plan(self) -> None:
+        gap_us = 1 + int(self._random.expovariate(self._per_s) * SECOND_US)
+        self._simulation.at(self._simulation.now_us + gap_us, self._hand_over)
+
+    def _hand_over(self) -> None:
+        cls = self._random.choices(CLASSES, PARTS)[0]
+        self._relay.take(f"m{next(self._serial)}", self._random.choice(self._entries), cls)
+        self._plan()
+
+
+def entries_of(size: int) -> tuple[Entry, ...]:
+    """A list of so many destinations with one endpoint each."""
+    return tuple(
+        Entry(f"host-{number}", number, ZONES[number % len(ZONES)], "plain", Listing.READY)
+        for number in range(size)
+    )
+
+
+def failed_answer(fault: Fault, limit_us: int) -> Answer:
+    """How a call at a destination with this fault ends."""
+    if fault is Fault.CONNECT_FAILS:
+        return Answer(Verdict.CONNECT_FAILED, min(limit_us, CONNECT_FAILED_US))
+    if fault is Fault.REFUSES:
+        return Answer(Verdict.FULL, min(limit_us, REFUSED_US))
+    return Answer(Verdict.TIMEOUT, limit_us)
+
+
+def served_answer(random: Random, limit_us: int) -> Answer:
+    """How a call at a healthy destination ends."""
+    took_us = int(random.lognormvariate(math.log(USUAL_US), SPREAD))
+    return Answer(Verdict.OK, took_us) if took_us <= limit_us else Answer(Verdict.TIMEOUT, limit_us)
