--- a/fleetlab/scale/subjects/destinations.py
+++ b/fleetlab/scale/subjects/destinations.py
@@ -88,11 +88,13 @@
 
 @dataclass(slots=True)
 class Looks:
-    """Looks at items of the module's tables of endpoints and destinations."""
+    """Looks at items of the module's tables of endpoints and destinations, and how long its queues grow."""
 
     endpoints: int = 0
     destinations: int = 0
     most_in_step: int = 0
+    most_to_look_at: int = 0  # destinations that wait for a look, after a step
+    most_due: int = 0  # entries in the queue of destinations to look at later
 
 
 @dataclass(slots=True)
@@ -140,6 +142,8 @@
         looks.destinations += destinations.looks
         looks.most_in_step = max(looks.most_in_step, endpoints.looks + destinations.looks)
         endpoints.looks = destinations.looks = 0
+        looks.most_to_look_at = max(looks.most_to_look_at, len(relay.module.look))
+        looks.most_due = max(looks.most_due, len(relay.module.due))
 
     relay.on_step = add
 
@@ -178,6 +182,8 @@
         "endpoints_per_message_looks": looks.endpoints / counts.taken,
         "destinations_per_message_looks": looks.destinations / counts.taken,
         "most_in_one_step_looks": looks.most_in_step,
+        "most_waiting_for_a_look_destinations": looks.most_to_look_at,
+        "most_due_entries": looks.most_due,
     }
     for fault in dict.fromkeys(play.faults):
         if fault in result.wasted_per_destination:
