--- a/fleetlab/scale/subjects/destinations.py
+++ b/fleetlab/scale/subjects/destinations.py
@@ -35,6 +35,7 @@
 MIXED_FAULTS = (Fault.CONNECT_FAILS, Fault.HANGS, Fault.CONNECT_FAILS, Fault.REFUSES)  # in turn
 SIZES = (20, 200, 2_000, 7_000, 31_000)
 BYTES_PER_DESTINATION, BYTES_PER_PLAY = 40_000, 200 << 20  # upper estimates of memory
+FULL_SECONDS = 8  # simulated, with slots full: a step costs the more, the longer they are
 GROUP_SIZE, HOLD_CAP, MAX_ATTEMPTS, ROUND_US = 600, 20_000, 8, 5_000
 
 
@@ -226,6 +227,6 @@
 FEW_SLOTS = subject(
     "destinations-few-slots",
     "the same with fewer slots than destinations that hang, from 7,000 destinations on",
-    Play(slots=96, faults=(Fault.HANGS,)),
+    Play(slots=96, faults=(Fault.HANGS,), seconds=FULL_SECONDS),
     (2_000, 7_000, 15_000, 31_000),
 )
