--- /dev/null
+++ b/fleetlab/scale/held_load.py
@@ -0,0 +1,81 @@
+"""The messages that a relay holds in a backlog: derived from a seed, for destinations that are down."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+from mallowlug.journal import reserve
+from mallowlug.relay import Handed, Held
+from mossfront.interface import Effect, Entry, Listing, MessageClass, Settings
+
+DESTINATIONS = 31_000
+DOWN = 682  # of them, 2.2%
+BODY_BYTES = 200
+ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
+KIND = "franchisee"
+HOUR_US = 3_600_000_000
+START_US = 4_000_000_000_000_000  # simulated time begins in the distant future: a real clock is before it
+EARLIEST_US, LATEST_US = 12 * HOUR_US, 24 * HOUR_US  # until a message's time is up
+SEAT_STATUS = MessageClass("seat-status", Effect.SAFE, 1_500_000, LATEST_US, late_worth=0.5)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Which destinations hold the backlog."""
+
+    one_holds_most: bool  # the others that are down hold one message each
+
+    def destination(self, number: int, random: Random) -> int:
+        """Where the message of that number goes; destinations 0 to ``DOWN - 1`` are down."""
+        if not self.one_holds_most:
+            return random.randrange(DOWN)
+        return number if number < DOWN else 0
+
+
+SPREAD, ONE = Placement(one_holds_most=False), Placement(one_holds_most=True)
+
+
+def message(number: int, destination: int, now_us: int, random: Random) -> Held:
+    """One message as a relay holds it; its identifier is as long as a client's."""
+    name = f"{random.getrandbits(64):016x}-{number:09d}"
+    deadline_us = now_us + random.randrange(EARLIEST_US, LATEST_US)
+    handed = Handed(name, destination, SEAT_STATUS.name, deadline_us, "tenant-1", "", f"key-{name}")
+    return Held(handed, random.randbytes(BODY_BYTES))
+
+
+def backlog(count: int, placement: Placement, seed: int) -> Iterator[Held]:
+    """The messages of a backlog, in the order of their arrival."""
+    random = Random(seed)
+    for number in range(count):
+        yield message(number, placement.destination(number, random), START_US, random)
+
+
+def host_of(destination: int) -> str:
+    """The one endpoint of a destination."""
+    return f"s-{destination:05d}"
+
+
+def entries(count: int = DESTINATIONS) -> tuple[Entry, ...]:
+    """The endpoint list; down or not, each destination is listed as ready."""
+    numbers = range(count)
+    return tuple(Entry(host_of(n), n, ZONES[n % len(ZONES)], KIND, Listing.READY) for n in numbers)
+
+
+def settings(hold_cap: int) -> Settings:
+    """A relay of a fleet of 600 that may hold so many messages."""
+    return Settings(
+        slots=64,
+        classes=(SEAT_STATUS,),
+        group_size=600,
+        hold_cap=hold_cap,
+        max_attempts=1_000,  # a backlog outlasts its trials
+        round_us=5_000,
+        may_cancel=True,
+    )
+
+
+def reserved_bytes(held: Held) -> int:
+    """Room that the journal keeps free for what may still be said of the message."""
+    return reserve(held.handed.id)
--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -5,6 +5,7 @@
 from fleetlab.scale.records import ScaleError
 from fleetlab.scale.subject import Subject
 from fleetlab.scale.subjects import (
+    backlog,
     destinations,
     endpoint_list,
     fleet_outage,
@@ -19,6 +20,8 @@
     destinations.WITHOUT_CANCEL,
     destinations.FEW_SLOTS,
     fleet_outage.SUBJECT,
+    backlog.SUBJECT,
+    backlog.ONE_SUBJECT,
 )
 SUBJECTS = {subject.name: subject for subject in ALL_SUBJECTS}
 
--- /dev/null
+++ b/fleetlab/scale/replay.py
@@ -0,0 +1,86 @@
+"""``python -m fleetlab.scale.replay FOLDER DISK_BYTES``: a start over a journal, in its own process."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from fleetlab.scale.held_load import DOWN, settings
+from fleetlab.scale.process import resident_bytes
+from fleetlab.scale.records import ScaleError
+from mallowlug.config import Config
+from mallowlug.cost import memory_of
+from mallowlug.discovery import HostList
+from mallowlug.journal import Journal
+from mallowlug.relay import Driver
+
+NOWHERE = ("127.0.0.1", 9)  # nobody is called: the loop does not turn
+ROOM = 1_000_000  # messages more than recovered, which a relay may hold
+MOST_SECONDS = 110.0
+
+
+class Replay(msgspec.Struct, frozen=True):
+    """What a start over a journal took."""
+
+    recovered: int  # messages in the journal
+    held: int  # messages that the relay holds after its start
+    journal_seconds: float  # to read the journal
+    take_up_seconds: float  # to give its messages to the relay and the module, in one turn of the loop
+    before_bytes: int  # resident, before the journal was opened
+    peak_bytes: int  # the most that was resident, until the journal was read
+    after_bytes: int  # resident, with all taken up
+
+
+def config(folder: Path, disk_bytes: int, messages: int) -> Config:
+    """A relay that may hold them all, with no endpoint listed."""
+    return Config(
+        name="relay",
+        listen=NOWHERE,
+        discovery=NOWHERE,
+        state=folder,
+        seed=1,
+        settings=settings(hold_cap=messages + ROOM),
+        connect_timeout_us=1_000_000,
+        disk_bytes=disk_bytes,
+        sockets=4 * DOWN,
+        memory_bytes=1 << 40,
+        known=HostList(0, True, ()),
+    )
+
+
+async def replay(folder: Path, disk_bytes: int) -> Replay:
+    """Start the relay's own parts; they are closed before the loop turns, so nobody is called."""
+    before_bytes, begun_s = resident_bytes(), time.monotonic()
+    journal = Journal(folder, disk_bytes)
+    journal_s = time.monotonic() - begun_s
+    peak_bytes, recovered = memory_of(Path("/proc/self"))["VmHWM"], len(journal.recovered)
+    driver = Driver(config(folder, disk_bytes, recovered), journal, _broken)
+    begun_s = time.monotonic()
+    driver.start()
+    take_up_s = time.monotonic() - begun_s
+    held, after_bytes = driver.figures.in_flight, resident_bytes()
+    driver.close()
+    return Replay(recovered, held, journal_s, take_up_s, before_bytes, peak_bytes, after_bytes)
+
+
+def _broken(error: BaseException) -> None:
+    raise error
+
+
+def replayed(folder: Path, disk_bytes: int) -> Replay:
+    """The same in a fresh process, whose memory is its own; ``ScaleError`` where it fails."""
+    command = [sys.executable, "-m", "fleetlab.scale.replay", str(folder), str(disk_bytes)]
+    try:
+        done = subprocess.run(command, capture_output=True, timeout=MOST_SECONDS, check=True)
+    except (subprocess.TimeoutExpired, subprocess.CalledProcessError) as error:
+        raise ScaleError(f"replay of {folder}: {error}") from None
+    return msgspec.json.decode(done.stdout, type=Replay)
+
+
+if __name__ == "__main__":
+    print(msgspec.json.encode(asyncio.run(replay(Path(sys.argv[1]), int(sys.argv[2])))).decode())
