--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -9,6 +9,7 @@
     destinations,
     endpoint_list,
     fleet_outage,
+    replay_process,
     watchers,
 )
 
@@ -22,6 +23,7 @@
     fleet_outage.SUBJECT,
     backlog.SUBJECT,
     backlog.ONE_SUBJECT,
+    replay_process.SUBJECT,
 )
 SUBJECTS = {subject.name: subject for subject in ALL_SUBJECTS}
 
--- /dev/null
+++ b/fleetlab/scale/subjects/replay_process.py
@@ -0,0 +1,111 @@
+"""The real process of a relay, started over a journal that holds a backlog."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from fleetlab.scale.held_load import BODY_BYTES, DOWN, SEAT_STATUS, SPREAD, backlog
+from fleetlab.scale.records import Reading, Source
+from fleetlab.scale.subject import Subject
+from fleetlab.scale.subjects.backlog import ample_bytes, disk_bytes, fill
+from mallowlug.cost import memory_of
+from mallowlug.journal import Journal
+from mallowlug.relay import BODIES_SHARE
+from standins.scripted import Client, World, settings_json, silent
+
+ENDPOINTS = 20  # that are listed and answer nothing; the other destinations have none
+SLOTS = 64
+OPEN_SPARE = 1_000  # messages that the relay may hold beside the backlog
+LEAST_MEMORY_MB = 32
+BYTES_PER_MESSAGE = 8_000  # upper estimate of memory: the relay and the process that measures
+MB = 1_000_000
+PATIENCE_S = 90.0  # for the first answer
+LOOK_S = 0.01
+
+
+def class_json() -> dict[str, Any]:
+    """The class of the backlog, as a deployment tells it."""
+    return {
+        "name": SEAT_STATUS.name,
+        "effect": SEAT_STATUS.effect.value,
+        "key_scope": "all",
+        "dedup_window_us": 0,
+        "aim_us": SEAT_STATUS.aim_us,
+        "deadline_us": SEAT_STATUS.deadline_us,
+        "worth": SEAT_STATUS.worth,
+        "late_worth": SEAT_STATUS.late_worth,
+        "stream": False,
+    }
+
+
+def configure(world: World, messages: int, disk: int) -> None:
+    """Limits with room for the backlog and little more."""
+    world.settings = settings_json(open_cap=messages + OPEN_SPARE)
+    world.settings["request_classes"] = [class_json()]
+    world.settings["domain"] |= {"calls_out": SLOTS}
+    world.disk_mb = disk / MB
+    world.memory_mb = LEAST_MEMORY_MB + int(messages * BODY_BYTES / BODIES_SHARE / MB)
+    world.admin_port = world.free_port()
+
+
+async def answered(world: World) -> Client:
+    """A client, once the relay has answered it."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            try:
+                client = Client(*await asyncio.open_connection(world.address, world.port))
+            except OSError:
+                await asyncio.sleep(LOOK_S)
+                continue
+            if await client.command(b"PING") == b"+PONG":
+                return client
+
+
+async def restarted(folder: Path, size: int, seed: int) -> list[Reading]:
+    """Write the journal as the relay would, start the relay over it, and ask it."""
+    world = World(folder)
+    await world.start()
+    try:
+        messages = list(backlog(size, SPREAD, seed))
+        journal = Journal(world.state, ample_bytes(size))
+        fill(journal, messages)
+        journal.close()
+        configure(world, size, disk_bytes(messages, journal.written_bytes))
+        for number in range(ENDPOINTS):
+            await world.add(f"h{number:03d}", silent, block=number % DOWN)
+        begun_s = time.monotonic()
+        process = await world.spawn()
+        await answered(world)
+        pong_s = time.monotonic() - begun_s
+        held = (await world.figures())["in_flight"]
+        memory = memory_of(Path(f"/proc/{process.pid}"))
+    finally:
+        await world.stop()
+    return [
+        Reading("real_journal_bytes", journal.written_bytes),
+        Reading("real_held_messages", held),
+        Reading("real_pong_seconds", pong_s, Source.TIMED),
+        Reading("real_peak_bytes", memory["VmHWM"], Source.TIMED),
+        Reading("real_resident_bytes", memory["VmRSS"], Source.TIMED),
+    ]
+
+
+def measure(size: int, seed: int) -> list[Reading]:
+    """One restart in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="replay-") as folder:
+        return asyncio.run(restarted(Path(folder), size, seed))
+
+
+SUBJECT = Subject(
+    name="replay-process",
+    about="a real relay process that starts over a journal",
+    axis="messages in the journal",
+    sizes=(1_000, 10_000, 50_000, 100_000),
+    target=12_500_000,
+    memory_bytes=lambda size: size * BYTES_PER_MESSAGE,
+    measure=measure,
+)
--- /dev/null
+++ b/tests/scale/test_backlog.py
@@ -0,0 +1,163 @@
+"""What a backlog costs, by counts: how they grow, and that planted faults are told from it."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from fleetlab.scale.fit import exponent
+from fleetlab.scale.held_load import BODY_BYTES, DOWN, SPREAD, START_US, backlog, message, reserved_bytes
+from fleetlab.scale.hollow_module import STEP_US, HollowModule, lines_run
+from fleetlab.scale.replay import replayed
+from fleetlab.scale.subjects.backlog import (
+    WatchedJournal,
+    ample_bytes,
+    build_up,
+    churn,
+    disk_bytes,
+    fill,
+    journal_readings,
+)
+from fleetlab.scale.subjects.replay_process import measure as measure_process
+from mallowlug.journal import Journal, JournalFullError
+from mallowlug.relay import Held
+from mossfront.brain import Relay
+
+SIZES = (100, 200, 400, 800)
+MODULE_SIZES = (1_000, 2_000, 4_000, 8_000)
+CHURN = 50  # too little garbage for a compaction
+SEED = 5
+MOST_COMPACTIONS = 2  # beside 1,000 messages
+LINEAR = pytest.approx(1, abs=0.05)
+STEPS = 20
+
+Points = list[tuple[int, float]]
+Kind = Callable[[Path, int], WatchedJournal]
+
+
+class CompactsAlways(WatchedJournal):
+    """A planted quadratic: the whole log is written again for each record."""
+
+    def _append(self, records: list[tuple[list[Any], bytes]]) -> None:
+        super()._append(records)
+        self._size += 1  # a log without garbage would be left as it is
+        self._compact()
+
+
+def messages(size: int) -> list[Held]:
+    """A backlog."""
+    return list(backlog(size, SPREAD, SEED))
+
+
+def written(folder: Path, kind: Kind) -> Points:
+    """Journal bytes by size."""
+    points = []
+    for size in SIZES:
+        (own := folder / str(size)).mkdir()
+        journal = kind(own, ample_bytes(size))
+        fill(journal, messages(size))
+        journal.close()
+        points.append((size, float(journal.written_bytes)))
+    return points
+
+
+def test_a_backlog_is_one_write_and_the_same_bytes_a_message(tmp_path: Path) -> None:
+    for size in SIZES:
+        (folder := tmp_path / str(size)).mkdir()
+        journal = WatchedJournal(folder, ample_bytes(size))
+        figures = {r.figure: r.value for r in journal_readings(journal, folder, messages(size), SEED, CHURN)}
+        journal.close()
+        assert figures["journal_writes"] == size
+        assert figures["recovered_messages"] == size
+        assert figures["held_after_restart_messages"] == size
+        assert figures["churn_compactions"] == 0
+        assert 2 * BODY_BYTES < figures["journal_bytes"] / size < 2.2 * BODY_BYTES
+
+
+def test_journal_bytes_grow_with_the_messages(tmp_path: Path) -> None:
+    assert exponent(written(tmp_path, WatchedJournal)) == LINEAR
+
+
+def test_a_compaction_at_each_append_is_found(tmp_path: Path) -> None:
+    points = written(tmp_path, CompactsAlways)
+    assert exponent(points) != LINEAR
+    assert exponent(points) > 1.8
+
+
+def test_a_compaction_writes_a_backlog_no_more_than_once(tmp_path: Path) -> None:
+    """What comes and goes beside a backlog leaves the same garbage, and so as many compactions, at any size."""
+    points = []
+    for size in SIZES:
+        (folder := tmp_path / str(size)).mkdir()
+        journal = WatchedJournal(folder, ample_bytes(size))
+        fill(journal, messages(size))
+        before_bytes = journal.written_bytes
+        churn(journal, Random(SEED), 1_000)
+        journal.close()
+        assert journal.compactions <= MOST_COMPACTIONS
+        points.append((size, float(journal.written_bytes - before_bytes)))
+    growth = (points[-1][1] - points[0][1]) / (SIZES[-1] - SIZES[0])
+    assert growth <= MOST_COMPACTIONS * 2.2 * BODY_BYTES
+
+
+def test_the_disk_that_is_said_to_be_needed_is_enough_and_hardly_more(tmp_path: Path) -> None:
+    some = messages(400)
+    probe = Journal(tmp_path, ample_bytes(400))
+    fill(probe, some)
+    probe.close()
+    (folder := tmp_path / "exact").mkdir()
+    journal = Journal(folder, disk_bytes(some, probe.written_bytes))
+    fill(journal, some)
+    more = [message(number, 0, START_US, Random(number)) for number in range(3)]
+    with pytest.raises(JournalFullError, match="budget"):
+        fill(journal, more)
+    journal.close()
+    assert replayed(folder, ample_bytes(400)).recovered >= 400
+    assert reserved_bytes(some[0]) > BODY_BYTES
+
+
+def steps_lines() -> Points:
+    """Lines of the usual step with one arrival, by the size of a backlog for another destination."""
+    points = []
+    for size in MODULE_SIZES:
+        random = Random(SEED)
+        some = [message(number, 0, START_US, random) for number in range(size)]
+        module = HollowModule({held.handed.id: held for held in some}, 100_000, SEED, DOWN + 1)
+        build_up(module, some)
+        assert module.relay.open == size
+        points.append((size, statistics.median(arrival_lines(module, random) for _ in range(STEPS))))
+    return points
+
+
+def arrival_lines(module: HollowModule, random: Random) -> int:
+    """Lines of one step with a message for a destination that is up."""
+    arrival = module.arrival(message(0, DOWN, module.now_us, random))
+    return lines_run(lambda: module.advance(STEP_US, [arrival]))
+
+
+def test_an_arrival_beside_a_backlog_looks_at_few_of_its_messages() -> None:
+    assert exponent(steps_lines()) < 0.1
+
+
+def test_a_scan_of_the_backlog_in_each_step_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    expire = Relay._expire
+
+    def scan(relay: Relay) -> None:
+        for held in relay.messages.values():
+            assert not held.done
+        expire(relay)
+
+    monkeypatch.setattr(Relay, "_expire", scan)
+    assert exponent(steps_lines()) > 0.9
+
+
+def test_the_real_process_holds_what_the_journal_holds() -> None:
+    size = 300
+    figures = {reading.figure: reading.value for reading in measure_process(size, SEED)}
+    assert figures["real_held_messages"] == size
+    assert 2 * BODY_BYTES < figures["real_journal_bytes"] / size < 2.2 * BODY_BYTES
