--- a/tests/scale/test_backlog.py
+++ b/tests/scale/test_backlog.py
@@ -90,7 +90,7 @@
 
 
 def test_a_compaction_writes_a_backlog_no_more_than_once(tmp_path: Path) -> None:
-    """What comes and goes beside a backlog leaves the same garbage, and so as many compactions, at any size."""
+    """What comes and goes leaves the same garbage, and so as many compactions, beside any backlog."""
     points = []
     for size in SIZES:
         (folder := tmp_path / str(size)).mkdir()
