Measure members by size: calm, one lost, a zone, a cut, restarts together

Need: whether 600 relays can know each other within 1.1% of a core, 256 MB and 29 KB/s. A plan of simulated members may name them, put them into zones and date their first life.

--- /dev/null
+++ b/fleetlab/scale/load.py
@@ -0,0 +1,56 @@
+"""What a simulated fleet sends and uses over some simulated time, a member and second."""
+
+from __future__ import annotations
+
+from fleetlab.scale.process import processor_seconds
+from fleetlab.scale.records import Reading, Source
+from fleetlab.sim.settled import SettledSim
+from membership.core import SECOND
+
+EXCHANGE = "Exchange"
+
+
+class Load:
+    """Counts from its creation on."""
+
+    def __init__(self, sim: SettledSim) -> None:
+        self._sim = sim
+        self._begun_us, self._begun_s = sim.world.now_us, processor_seconds()
+        self._sent, self._bytes, self._updates = sim.sent.copy(), sim.bytes.copy(), dict(sim.updates)
+        self._changes, self._suspicions = sim.changes, self._looked_at()
+
+    def _looked_at(self) -> int:
+        return sum(core.suspicions_looked_at for core in self._sim.cores())
+
+    def readings(self, phase: str) -> list[Reading]:
+        """Each figure begins with the phase; ``member_second`` means: a member that is up, and second."""
+        sim = self._sim
+        seconds = (sim.world.now_us - self._begun_us) / SECOND
+        member_seconds = len(sim.cores()) * seconds
+        processor_s = processor_seconds() - self._begun_s
+        messages, sent_bytes = sim.sent - self._sent, sim.bytes - self._bytes
+        datagrams = messages.total() - messages[EXCHANGE]
+        updates = sum(count - self._updates.get(name, 0) for name, count in sim.updates.items())
+        datagram_updates = updates - (sim.updates[EXCHANGE] - self._updates.get(EXCHANGE, 0))
+        per_member_second = {
+            "datagrams": float(datagrams),
+            "datagram_bytes": float(sent_bytes.total() - sent_bytes[EXCHANGE]),
+            "exchanges": float(messages[EXCHANGE]),
+            "exchange_bytes": float(sent_bytes[EXCHANGE]),
+            "sent_bytes": float(sent_bytes.total()),
+            "updates": float(datagram_updates),
+            "changes": float(sim.changes - self._changes),
+            "suspicions_looked_at": float(self._looked_at() - self._suspicions),
+        }
+        return [
+            Reading(f"{phase}_seconds", seconds),
+            *(
+                Reading(f"{phase}_member_second_{name}", value / member_seconds)
+                for name, value in per_member_second.items()
+            ),
+            Reading(
+                f"{phase}_member_second_processor_microseconds",
+                1e6 * processor_s / member_seconds,
+                Source.TIMED,
+            ),
+        ]
--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -9,6 +9,8 @@
     destinations,
     endpoint_list,
     fleet_outage,
+    members,
+    members_faults,
     replay_process,
     watchers,
 )
@@ -24,6 +26,8 @@
     backlog.SUBJECT,
     backlog.ONE_SUBJECT,
     replay_process.SUBJECT,
+    members.SUBJECT,
+    *members_faults.SUBJECTS,
 )
 SUBJECTS = {subject.name: subject for subject in ALL_SUBJECTS}
 
--- /dev/null
+++ b/fleetlab/scale/subjects/members_faults.py
@@ -0,0 +1,105 @@
+"""A settled fleet that loses one member, a zone, the way between its regions, or restarts some together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from fleetlab.scale.load import Load
+from fleetlab.scale.records import Reading
+from fleetlab.scale.subject import Subject
+from fleetlab.scale.subjects.members import SIZES, TARGET, memory_bytes
+from fleetlab.sim.settled import ZONES, SettledPeers, SettledSim
+
+Play = Callable[[SettledSim], list[Reading]]
+SETTLE_S = 5.0  # simulated, as all times here
+FAULT_S = 120.0  # at most, until all agree
+CUT_S, HEALED_S = 90.0, 180.0
+DOWN_S = 3.0  # of a member that is restarted
+MOST_RESTARTS, LEAST_SHARE = 30, 10  # together: so many, or one in so many
+STEP_S = 0.5
+
+
+def agreed(sim: SettledSim, phase: str, most_s: float) -> list[Reading]:
+    """Seconds until all agree; the reading is missing where they do not in time."""
+    seconds = sim.until_agreed(most_s, STEP_S)
+    found = [Reading(f"{phase}_agreed", float(seconds is not None))]
+    return found if seconds is None else [*found, Reading(f"{phase}_until_agreed_seconds", seconds)]
+
+
+def detection(sim: SettledSim, phase: str, *names: str) -> list[Reading]:
+    """When the first and the last member held one of those lost failed; missing where not all do."""
+    times = [found for name in names if (found := sim.detection_s(name)) is not None]
+    if len(times) < len(names):
+        return []
+    return [
+        Reading(f"{phase}_first_detected_seconds", min(first for first, _ in times)),
+        Reading(f"{phase}_last_detected_seconds", max(last for _, last in times)),
+    ]
+
+
+def kill_one(sim: SettledSim) -> list[Reading]:
+    """One member goes without a word."""
+    lost, load = sim.names[-1], Load(sim)
+    sim.kill(lost)
+    found = agreed(sim, "killed", FAULT_S)
+    return [*load.readings("killed"), *found, *detection(sim, "killed", lost)]
+
+
+def lose_zone(sim: SettledSim) -> list[Reading]:
+    """A fifth of the members go at once."""
+    lost, load = [name for name, node in sim.nodes.items() if node.zone == ZONES[-1]], Load(sim)
+    sim.kill(*lost)
+    found = agreed(sim, "zone", FAULT_S)
+    return [*load.readings("zone"), *found, *detection(sim, "zone", *lost)]
+
+
+def cut_regions(sim: SettledSim) -> list[Reading]:
+    """Two halves that do not reach each other for a while."""
+    load = Load(sim)
+    sim.halve()
+    sim.run(CUT_S)
+    cut = load.readings("cut")
+    half = len(sim.names) // 2
+    settled = sum(len(view) in (half, len(sim.names) - half) for view in sim.views().values())
+    load = Load(sim)
+    sim.heal()
+    found = agreed(sim, "healed", HEALED_S)
+    return [*cut, Reading("cut_settled_members", settled), *load.readings("healed"), *found]
+
+
+def restart_some(sim: SettledSim) -> list[Reading]:
+    """Some end without a word, and begin new lives together a little later."""
+    count = min(MOST_RESTARTS, max(1, len(sim.names) // LEAST_SHARE))
+    names, load = sim.names[-count:], Load(sim)
+    sim.kill(*names)
+    sim.run(DOWN_S)
+    sim.restart(*names)
+    found = agreed(sim, "restarts", FAULT_S)
+    return [Reading("restarted_members", count), *load.readings("restarts"), *found]
+
+
+def subject(name: str, about: str, play: Play, core: type[SettledPeers] = SettledPeers) -> Subject:
+    """A subject for one fault."""
+
+    def measure(size: int, seed: int) -> list[Reading]:
+        sim = SettledSim(seed, size, core)
+        sim.run(SETTLE_S)
+        return [*play(sim), Reading("false_alarms", len(sim.false_alarms))]
+
+    return Subject(
+        name=name,
+        about=about,
+        axis="members",
+        sizes=SIZES[SIZES.index(20) :],
+        target=TARGET,
+        memory_bytes=memory_bytes,
+        measure=measure,
+    )
+
+
+SUBJECTS = (
+    subject("members-killed", "one member of a fleet is lost", kill_one),
+    subject("members-zone", "a zone, a fifth of the members, is lost at once", lose_zone),
+    subject("members-cut", "two halves lose each other, and find together again", cut_regions),
+    subject("members-restarts", "30 members, or a tenth, are restarted together", restart_some),
+)
--- a/fleetlab/sim/members.py
+++ b/fleetlab/sim/members.py
@@ -28,6 +28,9 @@
     settings: Settings = field(default_factory=Settings)
     weather: Weather = field(default_factory=lambda: Weather(lost=0.01, least_us=200, most_us=3_000))
     core: type[Peers] = Peers
+    names: str = "m{}"  # a member's name and address, by its number
+    zones: tuple[str, ...] = ("",)  # members are in each in turn
+    first_generation: int = 1
 
 
 @dataclass(slots=True)
@@ -44,6 +47,8 @@
     def __init__(self, sim: PeersSim, name: str, seeds: tuple[str, ...]) -> None:
         super().__init__(sim.world, name)
         self.sim, self._seeds = sim, seeds
+        self.zone = ""
+        self.generation = sim.plan.first_generation - 1
 
     def draw_rate(self) -> float:
         """Within the bound of drift."""
@@ -51,7 +56,7 @@
 
     def create_core(self) -> Peers:
         """A member that knows its seeds alone."""
-        me = Update(self.name, self.name, "", self.generation, 0, State.ALIVE)
+        me = Update(self.name, self.name, self.zone, self.generation, 0, State.ALIVE)
         return self.sim.plan.core(
             me, self._seeds, settings=self.sim.plan.settings, random=Random(self.world.random.random()),
             now_us=self.clock.now_us(),
@@ -78,8 +83,10 @@
         self.plan, self.world = plan, World(seed)
         self.network: Network[Message] = Network(self.world, self._deliver)
         self.network.weather = plan.weather
-        self.names = [f"m{number}" for number in range(plan.members)]
+        self.names = [plan.names.format(number) for number in range(plan.members)]
         self.nodes = {name: Node(self, name, tuple(self.names[:3])) for name in self.names}
+        for number, node in enumerate(self.nodes.values()):
+            node.zone = plan.zones[number % len(plan.zones)]
         self.lost: dict[str, Lost] = {}
         self.false_alarms: list[tuple[int, str, str]] = []  # when, by whom, on whom
         self.excused: set[str] = set()  # members that are slow, cut off, or gone
@@ -169,16 +176,12 @@
 
     def views(self) -> dict[str, frozenset[tuple[str, int]]]:
         """Of each member that is up: the names and generations that it holds to live."""
-        return {
-            name: frozenset((item.name, item.generation) for item in node.core.live())
-            for name, node in self.nodes.items()
-            if node.core is not None
-        }
+        return {name: view_of(node.core) for name, node in self.nodes.items() if node.core is not None}
 
     def agreed(self) -> bool:
         """Whether all that are up hold exactly those to live, each by its life of now."""
         up = frozenset((name, node.generation) for name, node in self.nodes.items() if node.core is not None)
-        return all(view == up for view in self.views().values())
+        return all(view_of(node.core) == up for node in self.nodes.values() if node.core is not None)
 
     def until_agreed(self, most_s: float, step_s: float = 0.5) -> float | None:
         """Seconds until all agree; None where they do not in time."""
@@ -197,3 +200,8 @@
             return None
         times = [lost.by_us[other] - lost.at_us for other in up]
         return min(times) / SECOND, max(times) / SECOND
+
+
+def view_of(core: Peers) -> frozenset[tuple[str, int]]:
+    """The names and generations that a member holds to live."""
+    return frozenset((item.name, item.generation) for item in core.live())
