Measure real members beside the simulated ones, and test what grows

Change: subject members-processes, real processes with default times that also note the size of all they send; tests of counts by size, with a whole view told at each change and whole exchanges with all others planted.

--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -11,6 +11,7 @@
     fleet_outage,
     members,
     members_faults,
+    members_processes,
     replay_process,
     watchers,
 )
@@ -28,6 +29,7 @@
     replay_process.SUBJECT,
     members.SUBJECT,
     *members_faults.SUBJECTS,
+    members_processes.SUBJECT,
 )
 SUBJECTS = {subject.name: subject for subject in ALL_SUBJECTS}
 
--- a/fleetlab/scale/subjects/members.py
+++ b/fleetlab/scale/subjects/members.py
@@ -29,14 +29,21 @@
     sim = SettledSim(seed, size)
     sim.run(SETTLE_S)
     held_bytes = (resident_bytes() - before_bytes) / size
+    return [
+        *calm(sim),
+        Reading("member_resident_bytes", held_bytes, Source.TIMED),
+        Reading("standing_look_processor_microseconds", standing_look_us(sim.cores()[0]), Source.TIMED),
+    ]
+
+
+def calm(sim: SettledSim) -> list[Reading]:
+    """What is sent while nothing happens."""
     load = Load(sim)
     sim.run(CALM_S)
     return [
         *load.readings("calm"),
         Reading("false_alarms", len(sim.false_alarms)),
         Reading("agreed_members", len(sim.cores()) if sim.agreed() else 0),
-        Reading("member_resident_bytes", held_bytes, Source.TIMED),
-        Reading("standing_look_processor_microseconds", standing_look_us(sim.cores()[0]), Source.TIMED),
     ]
 
 
--- /dev/null
+++ b/tests/scale/test_members.py
@@ -0,0 +1,111 @@
+"""What members send by the size of their fleet, at small sizes; planted growth is found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import cache
+
+import pytest
+
+from fleetlab.scale.fit import exponent
+from fleetlab.scale.records import Reading, Source
+from fleetlab.scale.subjects import members, members_faults
+from fleetlab.sim.members import PeersSim, Plan
+from fleetlab.sim.settled import SettledPeers, SettledSim
+from membership.core import SECOND
+from membership.messages import Exchange, Update
+
+SEED = 1
+SIZES = (10, 20, 40)
+CONSTANT, LINEAR = 0.5, 1.25  # most exponents of what may not grow with the fleet, and of what may in line
+Play = Callable[[SettledSim], list[Reading]]
+
+
+class ResendsWholeView(SettledPeers):
+    """A planted quadratic: each change has the whole view told again."""
+
+    def _pass_on(self, update: Update) -> None:
+        super()._pass_on(update)
+        for held in list(self.held.values()):
+            super()._pass_on(held.update)
+
+
+class ExchangesWithAll(SettledPeers):
+    """A planted quadratic: whole views go to all others in place of one."""
+
+    def _exchange(self) -> None:
+        super()._exchange()
+        for name in self._live:
+            self._say(name, Exchange(self.me.address, self._all(), answer=False))
+
+
+@cache
+def counts(play: Play, size: int, core: type[SettledPeers] = SettledPeers) -> dict[str, float]:
+    """The counts of one phase in a fleet of that size."""
+    readings = play(SettledSim(SEED, size, core))
+    return {item.figure: item.value for item in readings if item.source is Source.COUNT}
+
+
+def growth(play: Play, figure: str, core: type[SettledPeers] = SettledPeers) -> float:
+    """The power of the size by which a figure grows."""
+    return exponent([(size, counts(play, size, core)[figure]) for size in SIZES])
+
+
+@pytest.mark.parametrize(
+    ("play", "figure"),
+    [
+        (members.calm, "calm_member_second_datagrams"),
+        (members.calm, "calm_member_second_datagram_bytes"),
+        (members.calm, "calm_member_second_exchanges"),
+        (members_faults.kill_one, "killed_member_second_updates"),
+        (members_faults.kill_one, "killed_member_second_changes"),
+    ],
+)
+def test_what_a_member_sends_and_learns_does_not_grow_with_its_fleet(play: Play, figure: str) -> None:
+    assert growth(play, figure) < CONSTANT
+
+
+def test_whole_exchanges_grow_no_faster_than_the_fleet() -> None:
+    assert growth(members.calm, "calm_member_second_exchange_bytes") < LINEAR
+
+
+def test_a_whole_view_that_is_told_at_each_change_is_found() -> None:
+    assert growth(members_faults.kill_one, "killed_member_second_updates", ResendsWholeView) > CONSTANT
+
+
+def test_whole_exchanges_with_all_are_found() -> None:
+    assert growth(members.calm, "calm_member_second_exchanges", ExchangesWithAll) > CONSTANT
+    assert growth(members.calm, "calm_member_second_exchange_bytes", ExchangesWithAll) > LINEAR
+
+
+@pytest.mark.parametrize(
+    "play",
+    [
+        members_faults.kill_one,
+        members_faults.lose_zone,
+        members_faults.cut_regions,
+        members_faults.restart_some,
+    ],
+)
+def test_counts_follow_from_the_seed_and_all_agree_after_a_fault(play: Play) -> None:
+    once, again = counts(play, 10), counts.__wrapped__(play, 10)
+    assert once == again
+    assert [value for name, value in once.items() if name.endswith("_agreed")] == [1]
+
+
+def test_a_fleet_that_begins_settled_sends_what_one_that_came_up_sends() -> None:
+    """Datagrams and whole exchanges over a minute and a half, within a tenth and a third."""
+
+    def sent(sim: PeersSim) -> tuple[int, int]:
+        sim.run(60)
+        before = sim.sent.copy()
+        sim.run(90)
+        new = sim.sent - before
+        return new.total() - new["Exchange"], new["Exchange"]
+
+    came_up = PeersSim(SEED, Plan(20))
+    came_up.start_all(SECOND)
+    datagrams, exchanges = sent(came_up)
+    settled_datagrams, settled_exchanges = sent(SettledSim(SEED, 20))
+    assert 0.9 < settled_datagrams / datagrams < 1.1
+    assert 0.7 < settled_exchanges / exchanges < 1.3
