--- a/fleetlab/scale/load.py
+++ b/fleetlab/scale/load.py
@@ -17,11 +17,16 @@
         self._sim = sim
         self._begun_us, self._begun_s = sim.world.now_us, processor_seconds()
         self._sent, self._bytes, self._updates = sim.sent.copy(), sim.bytes.copy(), dict(sim.updates)
+        self._bytes_by = sim.bytes_by.copy()
         self._changes, self._suspicions = sim.changes, self._looked_at()
 
     def _looked_at(self) -> int:
         return sum(core.suspicions_looked_at for core in self._sim.cores())
 
+    def _most_bytes(self) -> int:
+        """Sent by the member that sent most."""
+        return max((self._sim.bytes_by - self._bytes_by).values(), default=0)
+
     def readings(self, phase: str) -> list[Reading]:
         """Each figure begins with the phase; ``member_second`` means: a member that is up, and second."""
         sim = self._sim
@@ -48,6 +53,7 @@
                 Reading(f"{phase}_member_second_{name}", value / member_seconds)
                 for name, value in per_member_second.items()
             ),
+            Reading(f"{phase}_busiest_member_second_sent_bytes", self._most_bytes() / seconds),
             Reading(
                 f"{phase}_member_second_processor_microseconds",
                 1e6 * processor_s / member_seconds,
--- a/fleetlab/scale/process.py
+++ b/fleetlab/scale/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 from pathlib import Path
 
@@ -19,3 +20,11 @@
 def processor_seconds() -> float:
     """Processor time that this process used, in user and system mode."""
     return time.process_time()
+
+
+def freeze() -> None:
+    """Spare what there is now from collections of garbage.
+
+    Many hollow parts stand in one process; a process of one part would not look through all others' objects.
+    """
+    gc.freeze()
--- a/fleetlab/scale/subjects/members.py
+++ b/fleetlab/scale/subjects/members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fleetlab.scale.load import Load
-from fleetlab.scale.process import processor_seconds, resident_bytes
+from fleetlab.scale.process import freeze, processor_seconds, resident_bytes
 from fleetlab.scale.records import Reading, Source
 from fleetlab.scale.subject import Subject
 from fleetlab.sim.settled import SettledSim
@@ -27,6 +27,7 @@
     """Let a settled fleet be."""
     before_bytes = resident_bytes()
     sim = SettledSim(seed, size)
+    freeze()
     sim.run(SETTLE_S)
     held_bytes = (resident_bytes() - before_bytes) / size
     return [
--- a/fleetlab/sim/settled.py
+++ b/fleetlab/sim/settled.py
@@ -31,7 +31,7 @@
 
     def _ends_us(self, held: Held) -> int:
         self.suspicions_looked_at += 1
-        return super()._ends_us(held)
+        return Peers._ends_us(self, held)  # called for each suspect at each step: without super's own cost
 
 
 class SettledSim(PeersSim):
@@ -52,6 +52,7 @@
             ),
         )
         self.bytes: Counter[str] = Counter()
+        self.bytes_by: Counter[str] = Counter()  # by sender
         self.changes = 0
         self._settle()
 
@@ -79,6 +80,7 @@
         data = wire.encode(FLEET, message)
         head = wire.LENGTH.size if isinstance(message, Exchange) else 0
         self.bytes[type(message).__name__] += head + len(data)
+        self.bytes_by[sender] += head + len(data)
         super().said(sender, to, wire.decode(FLEET, data))
 
     def changed(self, name: str, event: Changed) -> None:
