Keep the programs that scenarios share as templates

Need: four members-* scenarios repeated one configuration, and twenty leases-* scenarios repeated their quorum, resource, holders or crowd.

--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import field
 
+from fleetlab.templates import with_templates
 from standins.clients import Class, Load, Tenant
 from standins.partner import Spec
 
@@ -100,6 +101,8 @@
 class Program(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Further processes of the project: ``python -m MODULE CONFIG``, called NAME0, NAME1, and so on.
 
+    In a file ``use = "TEMPLATE"`` takes over what stands in ``scenarios/programs/TEMPLATE.toml``.
+
     In the configuration's text ``{address}``, ``{number}`` and ``{state}`` stand for the process's own, and
     ``{link:NAME0:PORT}`` for where it reaches another process's port: a link of the lab. A relay's ports are
     7000 for clients and 7001 for operators. ``{at:NAME0:PORT}`` is a process's own address and port, and
@@ -289,6 +292,7 @@
     if per_s is not None:
         raw["load"] = dict(raw.get("load", {}), per_s=per_s)
     try:
+        raw = with_templates(raw)
         scenario = msgspec.convert(
             raw | {key: item for key, item in changes.items() if item is not None}, Scenario
         )
--- a/tests/lab/test_scenarios.py
+++ b/tests/lab/test_scenarios.py
@@ -4,11 +4,12 @@
 
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
 
-from fleetlab import addresses, lab, runs, scenario, schedule
+from fleetlab import addresses, lab, runs, scenario, schedule, templates
 from fleetlab.fleet import FleetError
 from fleetlab.scenario import Fault
 from standins import clients
@@ -41,6 +42,10 @@
         (GOOD + '[[fault]]\nkind = "cut"\nat_s = 1\nto = ["moon"]', "fault[0].to: 'moon'"),
         (GOOD + '[[fault]]\nkind = "pause"\nat_s = 1', "fault[0].for_s"),
         (GOOD + '[[fault]]\nkind = "slow"\nat_s = 1', "fault[0].share"),
+        (GOOD + '[[program]]\nuse = "moon"', "program[0].use: 'moon' is none of crowd, "),
+        (GOOD + '[[program]]\nuse = "../kill-one"', "program[0].use: '../kill-one'"),
+        (GOOD + '[[program]]\nuse = ["peer"]', "program[0].use: ['peer']"),
+        (GOOD + '[[program]]\nuse = "peer"\nspeed = 1', "program[0]"),
     ],
 )
 def test_a_bad_scenario_is_one_line_with_file_and_key(tmp_path: Path, text: str, words: str) -> None:
@@ -83,6 +88,17 @@
         assert scenario.load(name, relays=40).relays == 40
 
 
+def test_a_program_takes_over_a_template_and_keeps_what_it_sets_itself() -> None:
+    """The template's name, module, ports and configuration, and the scenario's own count and links."""
+    text = GOOD + '[[program]]\nuse = "peer"\ncount = 3\ndatagrams = false'
+    program = scenario.read(text, "x").program[0]
+    template = tomllib.loads((templates.FOLDER / "peer.toml").read_text())
+    taken_over = (program.name, program.module, list(program.ports), program.config)
+    assert taken_over == tuple(template[key] for key in ("name", "module", "ports", "config"))
+    assert template["datagrams"]
+    assert (program.count, program.datagrams) == (3, False)
+
+
 def test_a_seed_gives_the_same_load_and_faults() -> None:
     """And another seed others."""
     text = GOOD + "seconds = 20\nrelays = 5\n[adversary]\nfaults = 12\n" + KILL + "part = 0.4"
