Fill a listening socket's backlog in one place in the tests

Need: tests/test_hosts.py and tests/test_windows.py filled a backlog with the same nine lines. Change: full_backlog() in tests/sockets.py serves both; what the tests assert is unchanged.

--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -20,6 +20,7 @@
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
 from standins.scripted import HttpServer, Request, delivered, silent, soon
+from tests.sockets import full_backlog
 
 KIND = Kind("banks", apart=True, batch=10)
 
@@ -106,18 +107,10 @@
 
 async def test_a_connection_that_never_comes_up_never_ran() -> None:
     """A full backlog takes no further connection, as a machine that is cut off."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        sock.listen(0)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(sock.getsockname())
-        calls = Calls(sock.getsockname()[1], connect_us=300_000)
+    with full_backlog() as full:
+        calls = Calls(full.port, connect_us=300_000)
         calls.send("m1")
         assert (await calls.outcome("m1")).verdict is Verdict.CONNECT_FAILED
-        for filler in fillers:
-            filler.close()
 
 
 async def test_a_break_before_the_last_byte_never_ran() -> None:
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 from mossfront import interface as api
 from mossfront.brain import Relay
 from standins.scripted import Request, World
+from tests.sockets import full_backlog
 from tests.support import KEYED, SECOND, arrival, ended, entry, roster, sends, settings
 
 WINDOW_S = 1.0
@@ -23,19 +23,12 @@
     """The first call is reset and may have run; the next one's connection is up once the key has passed."""
     shorten(world)
     loop, came = asyncio.get_running_loop(), bytearray()
-    with socket.socket() as full:  # a full backlog takes no further connection
-        full.bind(("127.0.0.1", 0))
-        full.listen(0)
-        full.setblocking(False)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(full.getsockname())
+    with full_backlog() as full:
         host = await world.add("h1")
         client = await world.run()
 
         def reset(request: Request) -> None:
-            world.directory.change("h1", dial=f"127.0.0.1:{full.getsockname()[1]}")
+            world.directory.change("h1", dial=f"127.0.0.1:{full.port}")
             request.reset()
 
         host.script.append(reset)
@@ -46,13 +39,12 @@
             while loop.time() < first.at_s + WINDOW_S:
                 await asyncio.sleep(0.01)
             while True:
-                peer, _ = await loop.sock_accept(full)
+                peer, _ = await loop.sock_accept(full.sock)
                 while data := await loop.sock_recv(peer, 65536):
                     came.extend(data)
                 peer.close()
 
-        for filler in fillers:
-            filler.close()
+        full.make_room()
         accepting = asyncio.create_task(accept())
         assert (await world.directory.notice("m1"))["result"] == "bounced"
         accepting.cancel()
