Count the links of further programs before a run begins

Need: check_descriptors counted the links of relays alone, so that a run of many further processes ended in its middle for want of sockets. Change: links that a program's configuration names or lists are counted, with two sockets more for each that carries datagrams; the line that refuses a run tells both.

--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -34,6 +34,8 @@
     Program,
     Scenario,
     links_of,
+    links_of_program,
+    links_of_relays,
 )
 from fleetlab.schedule import Planned, numbered, what
 from fleetlab.settings import settings
@@ -50,6 +52,7 @@
 REST_S = 1.0  # s after the last deadline when a run ends, whatever is still owed
 FLUSH_BYTES = 64 * 1024
 DISTINCT = 65_536  # between the seeds of two runs' links
+SOCKETS_OF_DATAGRAMS = 2  # of a link that carries them, beside the one that listens
 SPARE_DESCRIPTORS = 1_024  # of the lab, for what links carry and for its other sockets
 
 
@@ -87,10 +90,19 @@
 
 def check_descriptors(scenario: Scenario) -> None:
     """Each link listens: ``FleetError`` where this process may not open as many sockets as the run has."""
-    links = scenario.relays * (2 + len(scenario.hosts))
+    links, sockets = links_of_relays(scenario), 0
+    for program in scenario.program:
+        own = links_of_program(scenario, program)
+        links += own
+        sockets += own * SOCKETS_OF_DATAGRAMS if program.datagrams else 0
     may = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if links + SPARE_DESCRIPTORS > may:
-        raise FleetError(f"{scenario.relays} relays have {links} links; this process may open {may} files")
+    if links + sockets + SPARE_DESCRIPTORS > may:
+        others = f" and {len(scenario.program_names)} further processes" if scenario.program else ""
+        datagrams = f" and {sockets} sockets for datagrams" if sockets else ""
+        raise FleetError(
+            f"{scenario.relays} relays{others} have {links} links{datagrams}; "
+            f"this process may open {may} files"
+        )
 
 
 class Lab:
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -215,8 +215,6 @@
 
 
 LINK = re.compile(r"\{link:([a-z]+[0-9]+):([0-9]+)\}")
-
-
 AT = re.compile(r"\{at:([a-z]+[0-9]+):([0-9]+)\}")
 REACH = re.compile(r"\{reach:([a-z]+):([0-9]+)\}")
 
@@ -231,6 +229,26 @@
     return [(name, int(port)) for name, port in LINK.findall(config)]
 
 
+def links_of_relays(scenario: Scenario) -> int:
+    """How many links relays need: each from clients, to the platform and to every endpoint."""
+    return scenario.relays * (2 + len(scenario.hosts))
+
+
+def links_of_program(scenario: Scenario, program: Program) -> int:
+    """How many links the processes of a program need: one from each to every place that it is told of."""
+    named = set(links_of(program.config))
+    listed = {
+        (name, port)
+        for kind, port in reaches_of(program.config)
+        for other in scenario.program
+        if other.name == kind
+        for name in other.names
+    }
+    own = set(program.names)
+    to_themselves = sum(name in own for name, _ in listed - named)  # of which no process is told
+    return program.count * len(named | listed) - to_themselves
+
+
 NEEDS = {
     "slow": "share", "delay": "delay_ms", "throttle": "bytes_per_s", "partner-slow": "times",
     "partner-fail": "share", "list-late": "late_s",
--- a/tests/lab/test_scenarios.py
+++ b/tests/lab/test_scenarios.py
@@ -197,3 +197,25 @@
     with pytest.raises(FleetError, match=f"1024 relays have {1024 * 1026} links"):
         lab.check_descriptors(played)
     lab.check_descriptors(scenario.read(GOOD + "relays = 3", "x"))
+
+
+@pytest.mark.parametrize(
+    ("programs", "links", "sockets"),
+    [
+        ('[[program]]\nuse = "peer"\ncount = 7', 7 * 6, 2 * 7 * 6),  # each reaches all others
+        ('[[program]]\nuse = "quorum"\ncount = 3', 3 * 3, 0),  # each names all three
+        ('[[program]]\nuse = "quorum"\ncount = 3\n[[program]]\nuse = "crowd"\ncount = 5', 3 * 3 + 5 * 3, 0),
+    ],
+)
+def test_links_of_further_programs_count(
+    monkeypatch: pytest.MonkeyPatch, programs: str, links: int, sockets: int
+) -> None:
+    """The run may begin with just the sockets that it needs, and with one less that is told."""
+    played = scenario.read(GOOD + "relays = 1\n" + programs, "x")
+    links += 2 + len(played.hosts)
+    need = links + sockets + lab.SPARE_DESCRIPTORS
+    monkeypatch.setattr("resource.getrlimit", lambda _: (need, need))
+    lab.check_descriptors(played)
+    monkeypatch.setattr("resource.getrlimit", lambda _: (need - 1, need))
+    with pytest.raises(FleetError, match=f"further processes have {links} links"):
+        lab.check_descriptors(played)
