Take a return after two failures in a row for a cold one

Followed call by call, the worst windows are bursts: a relay whose two trials failed and whose third was served sent all that it held at once, up to six calls. `Relay._fail` paces trials by the relay's part from the second failure in a row on, `Relay._learn` took the return for a cold one only from the third. A sparse relay sees no more than two. Change: both judge by the second. A single failure still is no outage, nor is one beside successes of the last two seconds. The new test fails without the change (6 calls in place of 1).

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -444,7 +444,7 @@
             return
         endpoint.answered_us, endpoint.turned = max(endpoint.answered_us, call.sent_us), 0
         trials = [g for g in endpoint.guards if g.strikes]
-        outage = any(g.strikes > 2 or self.trials[g.refused].share(self.now) > OUTAGE_MARK for g in trials)
+        outage = any(g.strikes > 1 or self.trials[g.refused].share(self.now) > OUTAGE_MARK for g in trials)
         for guard in trials:
             self.trials[guard.refused].add(False, self.now)
         for guard in endpoint.guards:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -44,6 +44,39 @@
     assert window <= 12, "40 relays that hold a message: at most a third of them in any window of fall_us"
 
 
+def calls_at_return(verdict: api.Verdict, seed: int) -> list[int]:
+    """Times of a relay's first call behind two failures, and of those in the tenth of a second after it.
+
+    Nine messages are served one by one; then one meets the outage, and five come in the pause behind that.
+    """
+    checker = Checker(settings(group_size=20, max_attempts=12), seed=seed)
+    checker.step(0, [roster(entry("h1"))])
+    down_us = 5 * SECOND
+    failed_us: list[int] = []
+    messages = dict.fromkeys(range(SECOND // 10, SECOND, SECOND // 10), 1)
+    messages |= {down_us: 1, down_us + 600_000: 5}
+
+    def feed(now_us: int) -> list[api.Event]:
+        return [arrival(f"m{now_us}-{number}", KEYED) for number in range(messages.get(now_us, 0))]
+
+    def answer(now_us: int, _send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        if now_us < down_us or len(failed_us) == 2:
+            return api.Verdict.OK, 20_000
+        failed_us.append(now_us)
+        return verdict, 20_000
+
+    log = drive(checker, 14 * SECOND, feed, answer)
+    later_us = [at_us for at_us, _ in log if at_us > failed_us[1]]
+    return [at_us for at_us in later_us if at_us <= later_us[0] + SECOND // 10]
+
+
+@pytest.mark.parametrize("verdict", [DOWN, api.Verdict.ERROR])
+def test_a_return_after_two_failures_in_a_row_is_a_cold_one(verdict: api.Verdict) -> None:
+    """A sparse relay of a large group sees no more of an outage; what it holds must not go out at once."""
+    for seed in range(10):
+        assert len(calls_at_return(verdict, seed)) == 1, seed
+
+
 def test_no_room_left_slows_down_and_room_speeds_up() -> None:
     def pace(left: float | None) -> float:
         relay = Relay(settings(group_size=40), seed=1)
