Space the calls to a cold server by its growing rate, not by that of the moment

Need: `Relay._space` computed each gap from what the server bears at the gap's start, though it bears more with every moment of the gap. A relay with few calls, whose gaps last seconds, stayed well under its part; outages lasted longer for it. Change: the gap is as long as the part's rate, which grows on the way, takes to come to one call. The new test fails without it at 0.25 and 1 call a second.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -567,8 +567,11 @@
         """A cold server gets this relay's part of what it bears, spread over its time to warm."""
         warm_us = max(1, self.set.warm_within_us)
         cold = max(0.0, 1 - (self.now - guard.cold_us) / warm_us)
-        rate = self.set.fall_multiple * (1 - (1 - self.set.cold_from) * cold) * self._part(endpoint, guard)
-        gap_us = part * min(1e6 / rate, max(RETRY_US, cold * warm_us))
+        bears, growth = 1 - (1 - self.set.cold_from) * cold, (1 - self.set.cold_from) / warm_us
+        call_us = 1e6 / (self.set.fall_multiple * self._part(endpoint, guard))
+        # The rate grows while it waits: gap x (bears + growth x gap / 2) = call, solved for the gap.
+        gap_us = 2 * call_us / (bears + math.sqrt(bears * bears + 2 * growth * call_us))
+        gap_us = part * min(gap_us, max(RETRY_US, cold * warm_us))
         guard.next_us = max(guard.next_us, self.now + int(gap_us))
 
     def _give_up(self, message: Message) -> None:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -77,6 +77,23 @@
         assert len(calls_at_return(verdict, seed)) == 1, seed
 
 
+@pytest.mark.parametrize("calls_per_s", [0.25, 1.0, 5.0])
+def test_a_cold_server_gets_the_whole_of_a_part_as_it_warms(calls_per_s: float) -> None:
+    """The sum of the spaced calls is the area under the growing rate, whatever the part."""
+    limits = settings(group_size=20, warm_within_us=10 * SECOND, cold_from=0.2, fall_multiple=2.0)
+    relay = Relay(limits, seed=1)
+    relay.step(0, [roster(entry("h1"))])
+    endpoint = relay.endpoints["h1"]
+    endpoint.limit.rate = 20 * calls_per_s
+    endpoint.own.cold_us = 0
+    calls = 0
+    while relay.now < 9 * SECOND:
+        relay._space(endpoint, endpoint.own)
+        relay.now, calls = endpoint.own.next_us, calls + 1
+    borne = 2.0 * calls_per_s * (0.2 * relay.now + 0.8 * relay.now**2 / (20 * SECOND)) / SECOND
+    assert calls == pytest.approx(borne, rel=0.02)
+
+
 def test_no_room_left_slows_down_and_room_speeds_up() -> None:
     def pace(left: float | None) -> float:
         relay = Relay(settings(group_size=40), seed=1)
