Take a long endpoint list in by bounded pieces, within a bound that follows the memory

Change: mallowlug/host_list.py reads a line of over 64 KiB 256 hosts at a time and turns it into changes, those that stop work first; the relay puts each piece in force before the next, and the version watched from moves on once all is. A line may take a fortieth of the memory (1 MiB at least), and lasts as long as 64 KiB come in 3 s; bytes that drip are silence as before. The module learns which pieces belong to one list, so that hosts of a first list are not taken for later ones. Short lines are read and told as before. An operator may name any listed host: of more than 4,096 the first could not be named.

--- a/fleetlab/scale/intake.py
+++ b/fleetlab/scale/intake.py
@@ -160,12 +160,13 @@
     try:
         client = await world.run()
         begun_s = time.monotonic()
-        questions = asyncio.create_task(_longest_wait_s(client))
+        ended = asyncio.Event()
+        questions = asyncio.create_task(_longest_wait_s(client, ended))
         known = 0
         while (spent_s := time.monotonic() - begun_s) < PATIENCE_S and known != size:
             await asyncio.sleep(ASK_S)
             known = (await world.figures())["endpoints_known"]
-        questions.cancel()
+        ended.set()
         assert world.process is not None
         used = taken(world.process.pid)
         return ProcessIntake(
@@ -180,18 +181,15 @@
         await world.stop()
 
 
-async def _longest_wait_s(client: Client) -> float:
-    """Ask at an even pace until cancelled; the longest wait for an answer, also for one that is still out."""
-    loop = asyncio.get_running_loop()
-    longest_s, asked_s = 0.0, None
+async def _longest_wait_s(client: Client, ended: asyncio.Event) -> float:
+    """Ask at an even pace until told to end; the longest wait for an answer."""
+    loop, longest_s = asyncio.get_running_loop(), 0.0
     try:
-        while True:
+        while not ended.is_set():
             asked_s = loop.time()
             await client.command(b"PING")
             longest_s = max(longest_s, loop.time() - asked_s)
-            asked_s = None
             await asyncio.sleep(CLIENT_S)
-    except asyncio.CancelledError:
-        return longest_s if asked_s is None else max(longest_s, loop.time() - asked_s)
     finally:
         client.writer.close()
+    return longest_s
--- a/fleetlab/scale/replay.py
+++ b/fleetlab/scale/replay.py
@@ -15,7 +15,7 @@
 from fleetlab.scale.records import ScaleError
 from mallowlug.config import Config
 from mallowlug.cost import memory_of
-from mallowlug.discovery import HostList
+from mallowlug.host_list import HostList
 from mallowlug.journal import Journal
 from mallowlug.relay import Driver
 
--- a/fleetlab/scale/subjects/endpoint_list.py
+++ b/fleetlab/scale/subjects/endpoint_list.py
@@ -10,10 +10,12 @@
 from fleetlab.scale.process import processor_seconds
 from fleetlab.scale.records import Reading, Source
 from fleetlab.scale.subject import Subject
-from mallowlug.discovery import MOST_LINE, read_list
+from mallowlug.discovery import most_line_bytes
+from mallowlug.host_list import read_list
 from mossfront.brain import Relay
 from mossfront.interface import Effect, MessageClass, Roster, RosterKind, Settings
 
+MEMORY_BYTES = 192_000_000  # of a relay, as the stand-ins of the tests configure it
 BYTES_PER_ENDPOINT = 20_000  # upper estimate of memory for one endpoint, text and objects together
 
 
@@ -73,7 +75,7 @@
     step_s = processor_seconds() - begun_s
     return [
         Reading("whole_list_bytes", float(len(line))),
-        Reading("fits_one_line", float(len(line) <= MOST_LINE)),
+        Reading("fits_one_line", float(len(line) <= most_line_bytes(MEMORY_BYTES))),
         Reading("endpoints_known", float(relay.known)),
         timed("read_processor_seconds", read_s),
         timed("longest_step_processor_seconds", step_s),
--- a/fleetlab/scale/watching.py
+++ b/fleetlab/scale/watching.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from fleetlab.scale.child import Child, carry_out
-from mallowlug.discovery import HostList, Watch
+from mallowlug.discovery import Watch, most_line_bytes
+from mallowlug.host_list import HostList
 from mallowlug.http import Address
 from mossfront.brain import ASK_US
 
@@ -22,6 +23,7 @@
 AT_ONCE = 10  # watchers that come up together at the start
 LOOK_S = 0.01  # s between looks whether they are up
 LOOPBACK = "127.0.0.1"
+MEMORY_BYTES = 192_000_000  # of a relay, on which the longest line depends
 
 
 class Reached(msgspec.Struct, frozen=True, tag="reached"):
@@ -44,7 +46,14 @@
     """One watcher; it comes back by itself after its watch broke."""
 
     def __init__(self, address: Address, version: int) -> None:
-        self.watch = Watch(address, version, self._told, self._failed)
+        self.watch = Watch(
+            address,
+            version,
+            told=self._told,
+            told_in_pieces=self._told_long,
+            failed=self._failed,
+            most_line=most_line_bytes(MEMORY_BYTES),
+        )
         self._again: asyncio.TimerHandle | None = None
         self.heard_s = 0.0
         self.lines = self.entries = self.broken = 0
@@ -54,6 +63,9 @@
         self.lines += 1
         self.entries += len(news.hosts)
 
+    async def _told_long(self, news: HostList) -> None:
+        self._told(news)
+
     def _failed(self) -> None:
         self.broken += 1
         self._again = asyncio.get_running_loop().call_later(ASK_S, self.watch.subscribe)
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from mallowlug.discovery import HostList, read_list
+from mallowlug.host_list import HostList, read_list
 from mallowlug.http import Address
 from mossfront.drill import settings_of, whole
 from mossfront.interface import Settings
--- a/mallowlug/discovery.py
+++ b/mallowlug/discovery.py
@@ -5,88 +5,83 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any
 
 import h11
 
+from mallowlug.host_list import HostList, ListReader, read_list
 from mallowlug.http import FAULTS, Address, Connection
-from mossfront.interface import Entry, Listing
 
 LOG = logging.getLogger(__name__)
 HOSTS, NOTICES = "/discovery/hosts", "/v1/notices"
 FIRST_S = 3.0  # s for a watch to come up and tell its first list; pieces of an answer or empty lines are none
 QUIET_S = 3.0  # s without a whole line that break a watch: a cut network is silent, and one is due every 2 s
-MOST_LINE = 1 << 20  # bytes of one line of a watch
+MOST_LINE = 1 << 20  # bytes of one line of a watch, however little memory there is
+LINE_SHARE = 1 / 40  # of the memory: a line; read, a host takes up to 21 times the bytes of its entry
+LONG_LINE = 64 * 1024  # bytes of a line that is read and told piece by piece
+LEAST_PROGRESS = 64 * 1024  # bytes of a long line that have to come within ``QUIET_S``
+PIECE = 256  # hosts that are read, or told, without letting others run
 POST_S = (0.25, 1.0)  # s for the answer to a notice, which is given at once: at first, and at most
 WORKERS, MOST_NOTICES = 3, 64  # posts out at once, so that a hanging one delays no other; lines in a post
 AGAIN_S = (0.02, 0.5)  # s before a post is repeated: at first, and at most
-STATES = {"SERVING": Listing.READY, "DRAINING": Listing.DRAINING, "DELETED": Listing.GONE}
 
 
-@dataclass(frozen=True, slots=True)
-class Listed:
-    """A host with the address under which this relay reaches it."""
+Told = Callable[[HostList], None]
+ToldInPieces = Callable[[HostList], Awaitable[None]]  # lets others run in between; over once all is in force
 
-    entry: Entry
-    dial: Address
 
+def most_line_bytes(memory_bytes: int) -> int:
+    """The longest line of a watch that a relay with so much memory takes."""
+    return max(MOST_LINE, int(memory_bytes * LINE_SHARE))
 
-@dataclass(frozen=True, slots=True)
-class HostList:
-    """One piece of news: the whole list, or what changed."""
-
-    seq: int
-    whole: bool
-    hosts: tuple[Listed, ...]
-
-
-def read_host(raw: Any) -> Listed | None:
-    """One host; one that cannot be read is left out, for the others' sake."""
-    try:
-        address, _, port = str(raw["dial"]).rpartition(":")
-        entry = Entry(
-            host=str(raw["host"]),
-            dest=int(raw["block"]),
-            zone=str(raw.get("site", "")),
-            kind=str(raw.get("class", "")),
-            listing=STATES[raw["health"]],
-            rate_hint=float(raw.get("share", 1.0)),
-        )
-        if not address or not 0 < int(port) < 65536:
-            raise ValueError(f"no address: {raw['dial']!r}")
-        return Listed(entry, (address, int(port)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        LOG.warning("discovery: a host that cannot be read was left out: %r", error)
-        return None
-
-
-def read_list(raw: Any) -> HostList:
-    """A list in discovery's form; ``ValueError`` where it is none."""
-    try:
-        hosts = [read_host(item) for item in raw["hosts"]]
-        return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(host for host in hosts if host))
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a list of hosts: {error!r}") from None
+
+class LineBuffer:
+    """Bytes of a stream as whole lines; a line may come in any number of parts."""
+
+    def __init__(self, most: int) -> None:
+        self._most, self._rest = most, bytearray()
+
+    def __len__(self) -> int:
+        """Bytes of the line that is still coming."""
+        return len(self._rest)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that end here; ``ValueError`` where one is longer than is taken."""
+        *lines, rest = data.split(b"\n")
+        if lines:
+            lines[0] = bytes(self._rest) + lines[0]
+            self._rest.clear()
+        self._rest += rest
+        if max(len(self._rest), *map(len, lines), 0) > self._most:
+            raise ValueError(f"a line of over {self._most} bytes, the bound by this relay's memory")
+        return lines
 
 
 class Watch:
     """One watch on the list at a time; it tells its end once and comes back only when asked to."""
 
     def __init__(
-        self, address: Address, seq: int, told: Callable[[HostList], None], failed: Callable[[], None]
+        self,
+        address: Address,
+        seq: int,
+        *,
+        told: Told,
+        told_in_pieces: ToldInPieces,
+        failed: Callable[[], None],
+        most_line: int = MOST_LINE,
     ) -> None:
         self._address, self.seq, self._told, self._failed = address, seq, told, failed
+        self._told_in_pieces, self._most_line = told_in_pieces, most_line
         self._task: asyncio.Task[None] | None = None
-        self._answered = False
+        self._works = False  # whether it has told a list, or a long one is coming
         self.connections = 0  # open ones
 
     def subscribe(self) -> None:
         """Start a watch; one that never answered is given up for it, one that works is kept."""
         if self._task is not None and not self._task.done():
-            if self._answered:
+            if self._works:
                 return
             self._task.cancel()
         self._start()
@@ -106,7 +101,7 @@
             self._start()
 
     def _start(self) -> None:
-        self._answered = False
+        self._works = False
         self._task = asyncio.create_task(self._run())
 
     def close(self) -> None:
@@ -141,30 +136,47 @@
     async def _lines(self, connection: Connection, by_s: float) -> None:
         """Tell each line in order until the watch ends, falls silent or makes no sense.
 
-        Bytes that come one by one are silence until they make a line: whoever sends them tells nothing.
+        Bytes that come one by one are silence until they make a line: whoever sends them tells nothing. Of a
+        line that takes longer, ``LEAST_PROGRESS`` bytes have to come each time.
         """
-        loop, rest = asyncio.get_running_loop(), b""
+        loop, buffer, counted = asyncio.get_running_loop(), LineBuffer(self._most_line), 0
         while True:
             async with asyncio.timeout_at(by_s):
                 event = await connection.event()
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError("the watch was ended")
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
-            if len(rest) > MOST_LINE:
-                raise ValueError("a line without end")
+            lines = buffer.feed(bytes(event.data))
             for line in lines:
                 if line.strip():
-                    self._line(read_list(json.loads(line)))
-            if lines and self._answered:
+                    await self._line(line)
+            counted = 0 if lines else counted
+            if progress := len(buffer) >= counted + LEAST_PROGRESS:
+                counted, self._works = len(buffer), True
+            if self._works and (lines or progress):
                 by_s = loop.time() + QUIET_S
 
-    def _line(self, news: HostList) -> None:
-        self._answered = True
-        if news.seq < self.seq:  # older than what is held: applied, it would undo a drain
-            LOG.warning("discovery: version %d after %d left out", news.seq, self.seq)
-            news = HostList(self.seq, False, ())
-        self.seq = news.seq
-        self._told(news)
+    async def _line(self, line: bytes) -> None:
+        """Read one line and tell it: a short one at once, a long one so that others run in between."""
+        if len(line) <= LONG_LINE:
+            news = self._newer(read_list(json.loads(line)))
+            self.seq = news.seq
+            self._told(news)
+            return
+        self._works = True
+        reader = ListReader(line)
+        while not reader.read(PIECE):
+            await asyncio.sleep(0)
+        news = self._newer(reader.news())
+        await self._told_in_pieces(news)
+        self.seq = news.seq  # not before all is in force: a watch that ends in the middle asks for it again
+
+    def _newer(self, news: HostList) -> HostList:
+        """The news, or none where they are older than what is held: applied, they would undo a drain."""
+        self._works = True
+        if news.seq >= self.seq:
+            return news
+        LOG.warning("discovery: version %d after %d left out", news.seq, self.seq)
+        return HostList(self.seq, False, ())
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -19,7 +19,7 @@
 
 import h11
 
-from mallowlug.discovery import HostList, Listed
+from mallowlug.host_list import HostList, Listed
 from mallowlug.http import FAULTS, SHORT, Address, Connection, Headers
 from mossfront.interface import Kind, Listing, Verdict
 
@@ -204,7 +204,7 @@
         self._kinds = {kind.name: kind for kind in kinds}
         self._idle_s, self._connect_s = keepalive_us / 1e6 * IDLE_SHARE, connect_us / 1e6
         self._most_idle, self._settled = most_idle, settled
-        self._listed: dict[str, Listed] = {}
+        self.listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self.ever: dict[str, None] = {}  # the hosts that lists have named, the latest of them last
         self._banned: set[str] = set()  # by operators
@@ -216,18 +216,18 @@
     def apply(self, news: HostList) -> None:
         """Follow the list at once: what drains or goes gets no call that is still to be written."""
         if news.whole:
-            gone = self._listed.keys() - {listed.entry.host for listed in news.hosts}
+            gone = self.listed.keys() - {listed.entry.host for listed in news.hosts}
             for host in gone:
-                del self._listed[host]
+                del self.listed[host]
                 self.close_idle(host)
         for listed in news.hosts:
             host = listed.entry.host
             self._named(host)
-            known = self._listed.get(host)
+            known = self.listed.get(host)
             if listed.entry.listing is Listing.GONE:
-                self._listed.pop(host, None)
+                self.listed.pop(host, None)
             else:
-                self._listed[host] = listed
+                self.listed[host] = listed
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
                 self.close_idle(host)
 
@@ -237,6 +237,10 @@
         if len(self.ever) > MOST_EVER:
             del self.ever[next(iter(self.ever))]
 
+    def knows(self, host: str) -> bool:
+        """Whether the list names the host, or named it not too long ago."""
+        return host in self.listed or host in self.ever
+
     def ban(self, host: str, banned: bool) -> None:
         """Follow an operator at once, as the list is followed."""
         (self._banned.add if banned else self._banned.discard)(host)
@@ -244,16 +248,16 @@
 
     def _open_to(self, host: str) -> bool:
         """Whether the list and the operators let the host be called."""
-        listed = self._listed.get(host)
+        listed = self.listed.get(host)
         return listed is not None and listed.entry.listing is Listing.READY and host not in self._banned
 
     def zone(self, host: str) -> str:
         """The zone of a host."""
-        return self._listed[host].entry.zone if host in self._listed else ""
+        return self.listed[host].entry.zone if host in self.listed else ""
 
     def _route(self, host: str) -> str:
         """What shares waits with a host: its destination, unless its kind's endpoints are routes apart."""
-        listed = self._listed.get(host)
+        listed = self.listed.get(host)
         apart = listed is None or self._kind(listed).apart
         return host if listed is None or apart else f"dest {listed.entry.dest}"
 
@@ -262,7 +266,7 @@
 
     def batch(self, host: str) -> int:
         """How many messages a call to the host may carry."""
-        listed = self._listed.get(host)
+        listed = self.listed.get(host)
         return 1 if listed is None else self._kind(listed).batch
 
     @property
@@ -333,11 +337,11 @@
         idle = [(host, connection) for host, items in self._idle.items() for connection, _ in items]
         idle = idle[: max(0, room - len(fds))]
         fds += [connection.sock.fileno() for _, connection in idle]
-        return Left(self._listed, calls, [(host, connection.kept_s) for host, connection in idle]), fds
+        return Left(self.listed, calls, [(host, connection.kept_s) for host, connection in idle]), fds
 
     def take(self, left: Left, socks: Iterator[socket.socket]) -> None:
         """Go on with what another process left."""
-        self._listed = left.listed
+        self.listed = left.listed
         for call, came in left.calls:
             if came is None:
                 for part in call.open:
@@ -353,7 +357,7 @@
 
     def _dial(self, host: str) -> Address:
         """Where a host is reached; of one that left the list only connections are left, which need none."""
-        return self._listed[host].dial if host in self._listed else ("", 0)
+        return self.listed[host].dial if host in self.listed else ("", 0)
 
     def cancel(self, ref: str, attempt: int) -> None:
         """Call one attempt off."""
@@ -548,7 +552,7 @@
             self._settle(call, part, told)
 
     async def _open(self, host: str) -> Connection:
-        listed = self._listed.get(host)
+        listed = self.listed.get(host)
         if listed is None:
             raise ConnectionError("no longer listed")
         self.counts["opened"] += 1
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -19,9 +19,10 @@
 from itertools import islice
 from typing import Any
 
-from mallowlug import hosts
+from mallowlug import host_list, hosts
 from mallowlug.config import Config
-from mallowlug.discovery import HostList, Notice, Notices, Watch
+from mallowlug.discovery import PIECE, Notice, Notices, Watch, most_line_bytes
+from mallowlug.host_list import HostList, changes_of, pieces
 from mallowlug.hosts import Call, Hosts, Left, Part, Told
 from mallowlug.http import Address
 from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
@@ -101,7 +102,9 @@
 
     It is the text of every record in it, and of what the module keeps. Decisions may differ.
     """
-    texts = [inspect.getsource(part) for part in (state, lanes, api, hosts, Module.__init__, Memory)]
+    texts = [
+        inspect.getsource(part) for part in (state, lanes, api, host_list, hosts, Module.__init__, Memory)
+    ]
     text = "\0".join([*texts, repr(settings), sys.version]).encode()
     # Against mistakes, not against malice: both are this user's. ``hashlib`` would load all of OpenSSL.
     return f"{len(text)}-{zlib.crc32(text):08x}-{zlib.adler32(text):08x}"
@@ -147,7 +150,14 @@
             config.sockets // 4,
             self._settled,
         )
-        self._watch = Watch(config.discovery, config.known.seq, self._listed, self._unlisted)
+        self._watch = Watch(
+            config.discovery,
+            config.known.seq,
+            told=self._listed,
+            told_in_pieces=self._listed_in_pieces,
+            failed=self._unlisted,
+            most_line=most_line_bytes(config.memory_bytes),
+        )
         self._notices = Notices(config.discovery, self._confirmed)
         self._held: dict[str, Held] = {}  # messages that owe their end to the module
         self._bodies_bytes, self._most_bodies_bytes = 0, int(config.memory_bytes * BODIES_SHARE)
@@ -155,6 +165,7 @@
         self._ended: Counter[tuple[str, str]] = Counter()  # messages by class and how they ended
         self._inbox: list[api.Event] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._steps_awaited: list[asyncio.Future[None]] = []  # of who waits for the next step's end
         self._status: asyncio.TimerHandle | None = None  # of the next status line
         self._next_s = 0.0  # when the next step is allowed
         self._step_us = 0  # when the last step was: what it decided counts from then
@@ -244,7 +255,7 @@
 
         ``JournalFullError`` where it cannot be kept: nothing has changed then.
         """
-        if host not in self._hosts.ever and host not in self._journal.banned:
+        if not self._hosts.knows(host) and host not in self._journal.banned:
             return False
         self._journal.ban(host, banned)
         self._leave_out(host, banned)
@@ -361,6 +372,26 @@
         kind = kind or (api.RosterKind.WHOLE if news.whole else api.RosterKind.CHANGES)
         self._post(api.Roster(kind, tuple(listed.entry for listed in news.hosts)))
 
+    async def _listed_in_pieces(self, news: HostList) -> None:
+        """Long news as bounded changes, each one in force before the next, while all else goes on.
+
+        What drains or is gone comes first, as it binds. Should it be cut off in between, what is in force is
+        a part of the news, and the version that is watched from is still the old one.
+        """
+        changes = changes_of(news, self._hosts.listed)
+        for number, piece in enumerate(pieces(changes, PIECE)):
+            self._hosts.apply(HostList(news.seq, False, piece))
+            entries = tuple(listed.entry for listed in piece)
+            self._post(api.Roster(api.RosterKind.CHANGES, entries, continued=number > 0))
+            await self._next_step()
+        LOG.info("discovery: version %d is in force, %d changes", news.seq, len(changes))
+
+    async def _next_step(self) -> None:
+        """Wait until the module has taken what is before it."""
+        stepped = self._loop.create_future()
+        self._steps_awaited.append(stepped)
+        await stepped
+
     def _unlisted(self) -> None:
         self._post(api.Roster(api.RosterKind.FAILED))
 
@@ -437,10 +468,18 @@
             actions = self._module.step(self._step_us, events)
             self.module_us += (time.perf_counter_ns() - begun_ns) // 1000
             self._carry_out(actions)
+            self._tell_stepped()
         except Exception as error:
             LOG.critical("the step loop broke", exc_info=True)
             self._crashed(error)
 
+    def _tell_stepped(self) -> None:
+        """Let go on who waited for a step."""
+        awaited, self._steps_awaited = self._steps_awaited, []
+        for stepped in awaited:
+            if not stepped.done():  # else whoever waited was cancelled
+                stepped.set_result(None)
+
     def _carry_out(self, actions: list[api.Action]) -> None:
         sends: dict[str, list[api.Send]] = {}
         for action in actions:
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -102,6 +102,7 @@
         # The next ask, and the gap before one after that: the first of a life often comes with all others'.
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), max(ASK_US, self._turn_us)
         self.asked_us = 0  # the last ask
+        self.list_later = False  # whether the latest news of the list came when others were known
         self.status_us = 0  # when destinations that hold messages are logged next
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
@@ -219,7 +220,9 @@
         named = {entry.host for entry in event.entries}
         for host, endpoint in self.endpoints.items() if event.kind is not RosterKind.CHANGES else ():
             endpoint.listing = endpoint.listing if host in named else Listing.GONE
-        start, later = max(1, int(CAP_SHARE * self.set.slots)), bool(self.endpoints)
+        start = max(1, int(CAP_SHARE * self.set.slots))
+        later = self.list_later if event.continued else bool(self.endpoints)
+        self.list_later = later
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
             known, kind = self.endpoints.get(entry.host), self.kinds.get(entry.kind, Kind(entry.kind))
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -167,10 +167,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Roster:
-    """News of the endpoint list."""
+    """News of the endpoint list; long news may come as several pieces, all but the first ``continued``."""
 
     kind: RosterKind
     entries: tuple[Entry, ...] = ()
+    continued: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/scale/test_endpoint_list.py
+++ b/tests/scale/test_endpoint_list.py
@@ -11,7 +11,7 @@
 from fleetlab.scale.fit import exponent
 from fleetlab.scale.intake import CountingDriver, driver_intake, process_intake
 from fleetlab.scale.subjects.endpoint_list import direct_readings, driver_readings
-from mallowlug.discovery import HostList
+from mallowlug.host_list import HostList
 from mossfront.interface import RosterKind
 
 SIZES = (40, 80, 160)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,7 +5,7 @@
 import heapq
 
 from mallowlug import hosts
-from mallowlug.discovery import HostList, Listed
+from mallowlug.host_list import HostList, Listed
 from mossfront import interface as api
 from mossfront.brain import MOST_GONE, Relay
 from tests.support import SAFE, SECOND, TURN, arrival, entry, roster, sends, settings
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -15,7 +15,7 @@
 import h11
 import pytest
 
-from mallowlug.discovery import HostList, Listed
+from mallowlug.host_list import HostList, Listed
 from mallowlug.hosts import Call, Hosts, Left, Part, Told, report_of, verdict_of, wait_of
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from mallowlug.discovery import HostList, Listed
+from mallowlug.host_list import HostList, Listed
 from mallowlug.journal import Journal
 from mossfront import interface as api
 from mossfront.brain import MOST_GONE, Relay
