Measure real relays as watchers, and let the list come only once a client asks

Need: nothing showed that hollow watchers are written what real relays are; and at 2,000 endpoints the real process knew the list before its client's first question, so the client's wait told nothing of the intake. Change: subject real-watchers with the steps of watchers; the hollow directory can hold its answer until it is told; bytes to a watch that returns.

--- a/fleetlab/scale/directory.py
+++ b/fleetlab/scale/directory.py
@@ -44,11 +44,15 @@
     resumes: bool
 
 
+class Hold(msgspec.Struct, frozen=True, tag="hold"):
+    """An order: leave new watches without an answer until ``Up``."""
+
+
 class Tell(msgspec.Struct, frozen=True, tag="tell"):
     """An order: do nothing but tell the counts."""
 
 
-Order = Change | Down | Up | Tell
+Order = Change | Down | Up | Hold | Tell
 
 
 class Counts(msgspec.Struct):
@@ -73,6 +77,8 @@
         self._whole: bytes | None = None  # of the present version, once a watch asked for it
         self._watches: set[asyncio.StreamWriter] = set()
         self._up, self._resumes = True, True
+        self._answering = asyncio.Event()
+        self._answering.set()
         self._listener = http.Listener(LOOPBACK, self._serve)
         self._counts = Counts(list_bytes=len(self._whole_line()))
 
@@ -102,6 +108,9 @@
                 self._end_watches()
             case Up():
                 self._up, self._resumes = True, order.resumes
+                self._answering.set()
+            case Hold():
+                self._answering.clear()
             case Tell():
                 pass
         self._counts.open_watches = len(self._watches)
@@ -135,6 +144,9 @@
         if target.path != HOSTS or not self._up:
             writer.write(http.answer(404 if self._up else 503))
             return
+        await self._answering.wait()
+        if reader.at_eof():  # it did not wait
+            return
         writer.write(HEAD)
         self._write(writer, self._first_line(int(parse_qs(target.query).get("from", ["0"])[0])))
         self._counts.watches += 1
--- a/fleetlab/scale/intake.py
+++ b/fleetlab/scale/intake.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from fleetlab.scale.child import Child
-from fleetlab.scale.directory import Counts, Tell, directory_process
+from fleetlab.scale.directory import Counts, Hold, Tell, Up, directory_process
 from fleetlab.scale.process import resident_bytes
 from fleetlab.scale.turns import TurnSelector
 from mallowlug.config import Config, load
@@ -50,7 +50,7 @@
     """How a relay's process took in the list, as a client saw it."""
 
     known: int
-    seconds: float | None  # from the process's first answer; None: never
+    seconds: float | None  # since the directory answered; None: never
     longest_wait_s: float  # of a client for its answer
     resident_bytes: int  # of the whole process at the end
     peak_resident_bytes: int
@@ -156,12 +156,14 @@
 
 async def _attend(folder: Path, directory: Child[Counts], size: int) -> ProcessIntake:
     world = RelayWorld(folder, directory.order(Tell()).port)
+    directory.order(Hold())  # the list is to come only once the client asks
     await world.start()
     try:
         client = await world.run()
-        begun_s = time.monotonic()
         ended = asyncio.Event()
         questions = asyncio.create_task(_longest_wait_s(client, ended))
+        begun_s = time.monotonic()
+        directory.order(Up(resumes=True))
         known = 0
         while (spent_s := time.monotonic() - begun_s) < PATIENCE_S and known != size:
             await asyncio.sleep(ASK_S)
--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -14,6 +14,7 @@
     members,
     members_faults,
     members_processes,
+    real_watchers,
     replay_process,
     watchers,
 )
@@ -22,6 +23,7 @@
     endpoint_list.SUBJECT,
     watchers.SUBJECT,
     watchers.LONG_LIST_SUBJECT,
+    real_watchers.SUBJECT,
     destinations.SUBJECT,
     destinations.WITHOUT_CANCEL,
     destinations.FEW_SLOTS,
--- /dev/null
+++ b/fleetlab/scale/subjects/real_watchers.py
@@ -0,0 +1,106 @@
+"""Real relays' processes on the hollow directory: whether hollow watchers tell the truth about its counts.
+
+The steps and the figures are those of ``watchers``; a relay has returned once its watch is answered.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from typing import IO
+
+from fleetlab.scale.directory import Tell, Up, directory_process
+from fleetlab.scale.intake import RelayWorld
+from fleetlab.scale.records import Reading, ScaleError, Source
+from fleetlab.scale.subject import Subject
+from fleetlab.scale.subjects.watchers import CHANGES, DOWN_S, LISTED, LOOK_S, PATIENCE_S, Fleet, Reach
+from standins.scripted import ROOT
+
+BYTES_PER_RELAY = 120_000_000  # upper estimate of memory
+STOP_S = 5.0  # s for a relay to end after SIGTERM
+
+
+class RealFleet(Fleet):
+    """A hollow directory that real relays watch; only it is asked what they have."""
+
+    def until_reached(self) -> float:
+        """Wait until each relay's watch is open; what is written there is on its way."""
+        by_s = time.monotonic() + PATIENCE_S
+        while time.monotonic() < by_s:
+            if (open_watches := self._directory.order(Tell()).open_watches) == self._size:
+                return time.monotonic()
+            time.sleep(LOOK_S)
+        raise ScaleError(f"{self._size - open_watches} relays of {self._size} did not watch in time")
+
+
+class RelayProcess:
+    """A real relay's process; it ends with the ``with`` block."""
+
+    def __init__(self, folder: Path, directory_port: int, log: IO[bytes]) -> None:
+        folder.mkdir()
+        world = RelayWorld(folder, directory_port)
+        world.state.mkdir()
+        command = [sys.executable, "-m", "mallowlug"]
+        self._process = subprocess.Popen(command, cwd=ROOT, env=world.environment(), stderr=log)
+
+    def __enter__(self) -> RelayProcess:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._process.terminate()
+        try:
+            self._process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+
+def measure(
+    size: int, seed: int, listed: int = LISTED, down_s: float = DOWN_S, whole: bool = True
+) -> list[Reading]:
+    """Tell changes to real relays, then have them return, and where ``whole`` again by the whole list."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="scale-")))
+        log = stack.enter_context((folder / "log").open("wb"))
+        directory = stack.enter_context(directory_process(listed, seed))
+        port = directory.order(Tell()).port
+        for number in range(size):
+            stack.enter_context(RelayProcess(folder / str(number), port, log))
+        fleet = RealFleet(directory, [], size, listed)
+        fleet.until_reached()
+        changes = [fleet.after(None) for _ in range(CHANGES)]
+        readings = [
+            Reading("real_change_lines", sum(reach.lines for reach in changes) / CHANGES),
+            Reading("real_change_bytes", sum(reach.line_bytes for reach in changes) / CHANGES),
+        ]
+        fleet.pause(down_s)
+        readings += return_readings("resumed", fleet.after(Up(resumes=True)))
+        if whole:
+            fleet.pause(down_s)
+            readings += return_readings("whole", fleet.after(Up(resumes=False)))
+        return readings
+
+
+def return_readings(how: str, reach: Reach) -> list[Reading]:
+    """The figures of a return of all."""
+    return [
+        Reading(f"real_return_{how}_watches", float(reach.watches)),
+        Reading(f"real_return_{how}_lines", float(reach.lines)),
+        Reading(f"real_return_{how}_bytes", float(reach.line_bytes)),
+        Reading(f"real_return_{how}_seconds", reach.seconds, Source.TIMED),
+    ]
+
+
+SUBJECT = Subject(
+    name="real-watchers",
+    about=f"real relays watch a list of {LISTED}, hear changes and return",
+    axis="relays",
+    sizes=(2, 5, 10, 20),
+    target=600,
+    memory_bytes=lambda size: size * BYTES_PER_RELAY,
+    measure=measure,
+)
--- a/fleetlab/scale/subjects/watchers.py
+++ b/fleetlab/scale/subjects/watchers.py
@@ -139,6 +139,7 @@
         Reading(f"return_{how}_watches", float(reach.watches), source),
         Reading(f"return_{how}_lines", float(reach.lines), source),
         Reading(f"return_{how}_bytes", float(reach.line_bytes), source),
+        Reading(f"return_{how}_watch_bytes", reach.line_bytes / reach.watches),
         Reading(f"return_{how}_seconds", reach.seconds, Source.TIMED),
         Reading(f"return_{how}_directory_processor_seconds", reach.directory_seconds, Source.TIMED),
     ]
--- a/tests/scale/test_watchers.py
+++ b/tests/scale/test_watchers.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 import pytest
 
 from fleetlab.scale.directory import LOOPBACK, Change, Counts, Directory, Tell
 from fleetlab.scale.fit import exponent
 from fleetlab.scale.records import Reading, Source
-from fleetlab.scale.subjects import watchers
+from fleetlab.scale.subjects import real_watchers, watchers
 from fleetlab.scale.watching import Reached, Watchers
 from standins.platform import Entry
 from standins.scripted import soon
@@ -77,6 +78,7 @@
     monkeypatch.setattr(watchers, "PROCESSES", 1)
 
 
+@functools.cache
 def measured(size: int, listed: int, whole: bool = True) -> dict[str, Reading]:
     """The subject's readings by figure."""
     readings = watchers.measure(size, SEED, listed, DOWN_S, whole)
@@ -100,3 +102,10 @@
     assert readings["return_resumed_watches"].value == 3
     assert readings["return_resumed_bytes"].value < 3 * 1000
     assert "return_whole_bytes" not in readings
+
+
+def test_real_relays_are_written_the_same_as_hollow_watchers() -> None:
+    hollow = measured(4, 20)
+    for reading in real_watchers.measure(4, SEED, 20, DOWN_S, whole=False):
+        if reading.source is Source.COUNT:
+            assert reading.value == hollow[reading.figure.removeprefix("real_")].value, reading.figure
