End the real relays of a measurement at once

Need: each took seconds to shut down, one after the other, which is none of what is measured. Change: SIGKILL in place of SIGTERM, as each relay's folder goes too.

--- a/fleetlab/scale/subjects/real_watchers.py
+++ b/fleetlab/scale/subjects/real_watchers.py
@@ -21,7 +21,6 @@
 from standins.scripted import ROOT
 
 BYTES_PER_RELAY = 120_000_000  # upper estimate of memory
-STOP_S = 5.0  # s for a relay to end after SIGTERM
 
 
 class RealFleet(Fleet):
@@ -51,12 +50,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._process.terminate()
-        try:
-            self._process.wait(STOP_S)
-        except subprocess.TimeoutExpired:
-            self._process.kill()
-            self._process.wait()
+        self._process.kill()  # it owes nobody anything, and its folder goes too
+        self._process.wait()
 
 
 def measure(
