--- a/fleetlab/sim/settled.py
+++ b/fleetlab/sim/settled.py
@@ -1,4 +1,8 @@
-"""A simulated fleet that begins settled, and whose every message passes through the real wire format."""
+"""A simulated fleet that begins settled, and whose every message passes through the real wire format.
+
+Not modelled: the process around the core. It sends at most 8 whole exchanges at once and takes at most 64, so
+that seeds which many ask together leave some out, and those ask again.
+"""
 
 from __future__ import annotations
 
