Name the membership's core a core in its shell

Need: shell.peers was named by the package's former name and read as a list of peers. The names of exported figures are as before.

--- a/membership/__main__.py
+++ b/membership/__main__.py
@@ -38,7 +38,7 @@
     served = Pages(pages(shell))
     if config.operators:
         await served.start(*address_of(config.operators))
-    LOG.info("%s, life %d, at %s", config.name, shell.peers.me.generation, config.listen)
+    LOG.info("%s, life %d, at %s", config.name, shell.core.me.generation, config.listen)
     ended = loop.create_task(over.wait())
     either: set[asyncio.Future[Any]] = {ended, shell.replaced}
     await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
@@ -62,7 +62,7 @@
     async with asyncio.timeout(CALL_S):
         reader, writer = await asyncio.open_connection(host, port)
         try:
-            writer.write(b"GET /view HTTP/1.1\r\nHost: peers\r\n\r\n")
+            writer.write(b"GET /view HTTP/1.1\r\nHost: membership\r\n\r\n")
             answer = await reader.read()
         finally:
             writer.close()
--- a/membership/pages.py
+++ b/membership/pages.py
@@ -47,7 +47,7 @@
 
 def view_of(shell: Shell, now_us: int) -> View:
     """What a member holds now."""
-    held, me = shell.peers.held, shell.peers.me
+    held, me = shell.core.held, shell.core.me
     lines = [
         Line(
             update.name, update.address, update.zone, update.generation, State(update.state).name.lower(),
@@ -58,13 +58,13 @@
     fleet = shell.stands()
     return View(
         me.name, me.generation, digest(shell.view()), shell.living, fleet.standing.value, len(fleet.settled),
-        round(fleet.size(now_us), 2), shell.peers.health, lines,
+        round(fleet.size(now_us), 2), shell.core.health, lines,
     )  # fmt: skip
 
 
 def metrics(shell: Shell) -> bytes:
     """The counts in Prometheus' text form."""
-    lines = [f"peers_living {shell.living}", f"peers_late_steps {shell.peers.health}"]
+    lines = [f"peers_living {shell.living}", f"peers_late_steps {shell.core.health}"]
     lines += [f"peers_{name}_total {count}" for name, count in sorted(shell.counts.items())]
     return "".join(f"{line}\n" for line in lines).encode()
 
--- a/membership/shell.py
+++ b/membership/shell.py
@@ -81,7 +81,7 @@
         self._fleet = wire.mark(config.fleet)
         me = Update(config.name, config.listen, config.zone, generation, 0, State.ALIVE)
         self._loop = asyncio.get_running_loop()
-        self.peers = Peers(
+        self.core = Peers(
             me, tuple(config.seeds), settings=config.settings, random=Random(), now_us=self.now_us()
         )
         self._rates = Rates()
@@ -116,7 +116,7 @@
     async def stop(self) -> None:
         """Leave in order: some hear of it at once."""
         if not self.replaced.done():
-            self._perform(self.peers.leave(self.now_us()))
+            self._perform(self.core.leave(self.now_us()))
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._calls):
@@ -131,10 +131,10 @@
     # The core
 
     def _wake(self) -> None:
-        self._perform(self.peers.wake(self.now_us()))
+        self._perform(self.core.wake(self.now_us()))
 
     def _heard(self, message: Message) -> None:
-        self._perform(self.peers.receive(self.now_us(), message))
+        self._perform(self.core.receive(self.now_us(), message))
 
     def _perform(self, outs: list[Out]) -> None:
         """Carry out what the core wants, and ask for its next turn."""
@@ -151,7 +151,7 @@
                         self.replaced.set_result(out.update)
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(max(0, self.peers.due_us - self.now_us()) / 1e6, self._wake)
+        self._timer = self._loop.call_later(max(0, self.core.due_us - self.now_us()) / 1e6, self._wake)
 
     def _note(self, change: Changed) -> None:
         update, before = change.update, change.before
@@ -250,11 +250,11 @@
 
     def view(self) -> list[Update]:
         """Everybody that is held, by name."""
-        return sorted((held.update for held in self.peers.held.values()), key=lambda update: update.name)
+        return sorted((held.update for held in self.core.held.values()), key=lambda update: update.name)
 
     def stands(self) -> Fleet:
         """Where this member stands in its fleet now."""
-        self._standing.look(self.now_us(), self.view(), self.peers.health)
+        self._standing.look(self.now_us(), self.view(), self.core.health)
         return self._standing
 
     @property
