Look for calls that hang alone among calls, not among all endpoints

Cause: Relay._cut_short walks over every known endpoint in each step in which slots are short. Change: the module keeps the endpoints that have calls out and walks over these. A test with slots short finds the walk; it fails without the change.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -87,6 +87,7 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
+        self.busy = dict[str, Endpoint]()  # those with calls out, by host
         self.dests, self.banned = dict[int, Destination](), set[str]()  # banned: by operators, listed or not
         self.turns = dict[str, list[Message]]()  # by key: messages in order of arrival
         self.rests = dict[str, int]()  # by key: when an attempt that may still run has died down
@@ -229,6 +230,7 @@
             if known is None or (known.dest, known.kind) != (entry.dest, kind):
                 if known is not None:  # the host moved: calls out are settled with the old endpoint
                     del self.dests[known.dest].endpoints[entry.host]
+                    self.busy.pop(entry.host, None)
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
                 known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
                 known.start, known.quota, known.later = start, 1 if later else start, later
@@ -370,7 +372,7 @@
         A connection that fell quiet says nothing of the endpoint, and others wait for the slot. A call ends
         whole, since a message is out as long as its call is.
         """
-        for endpoint in self.endpoints.values():
+        for endpoint in self.busy.values():
             for call in endpoint.calls:
                 age_us = self.now - call.sent_us
                 passed = call.sent_us < endpoint.answered_us and age_us > ALONE_OVERDUES * call.overdue_us
@@ -400,6 +402,8 @@
         call.open -= 1
         if call.open == 0:
             endpoint.calls.remove(call)
+            if not endpoint.calls and self.busy.get(endpoint.host) is endpoint:
+                del self.busy[endpoint.host]
             endpoint.used_us = self.now
             self.calls_out -= 1
             self._told(endpoint.limit, event.limit_per_s, event.limit_left)
@@ -788,6 +792,7 @@
                 idle_us = 0
             call = opened[endpoint.host] = Call(endpoint, self.now, overdue, idle_us)
             endpoint.calls.append(call)
+            self.busy[endpoint.host] = endpoint
             self.calls_out += 1
             if (pace := self._pace(limit := endpoint.limit)) < math.inf:
                 gap_us = int(1e6 / pace * self.rng.uniform(0.5, 1.5))  # not back together
--- a/tests/scale/test_destinations.py
+++ b/tests/scale/test_destinations.py
@@ -51,9 +51,13 @@
     assert table.looks == 4 + 4 * 2
 
 
-@pytest.mark.parametrize("play", [PLAY, replace(PLAY, may_cancel=True, slots=512)], ids=["plain", "cancel"])
+@pytest.mark.parametrize(
+    "play",
+    [PLAY, replace(PLAY, may_cancel=True, slots=512), replace(PLAY, may_cancel=True)],
+    ids=["plain", "cancel", "cancel, slots short"],
+)
 def test_only_what_is_due_every_few_seconds_walks_over_all(play: Play) -> None:
-    """With slots for twice the calls out none is ever cut short."""
+    """Also where slots are short, and calls that hang alone are looked for with each step."""
     assert walks(play) <= STATUS_WALKS
 
 
