Measure the replacement of a relay's process by the length of its list

Need: whether the next process takes over within a client's patience at 31,000 endpoints was not known. Change: subject replacement: a real process that knows the whole list is replaced while a client asks every 20 ms.

--- a/fleetlab/scale/intake.py
+++ b/fleetlab/scale/intake.py
@@ -161,7 +161,7 @@
     try:
         client = await world.run()
         ended = asyncio.Event()
-        questions = asyncio.create_task(_longest_wait_s(client, ended))
+        questions = asyncio.create_task(longest_wait_s(client, ended))
         begun_s = time.monotonic()
         directory.order(Up(resumes=True))
         known = 0
@@ -183,7 +183,7 @@
         await world.stop()
 
 
-async def _longest_wait_s(client: Client, ended: asyncio.Event) -> float:
+async def longest_wait_s(client: Client, ended: asyncio.Event) -> float:
     """Ask at an even pace until told to end; the longest wait for an answer."""
     loop, longest_s = asyncio.get_running_loop(), 0.0
     try:
--- a/fleetlab/scale/registry.py
+++ b/fleetlab/scale/registry.py
@@ -15,6 +15,7 @@
     members_faults,
     members_processes,
     real_watchers,
+    replacement,
     replay_process,
     watchers,
 )
@@ -31,6 +32,7 @@
     backlog.SUBJECT,
     backlog.ONE_SUBJECT,
     replay_process.SUBJECT,
+    replacement.SUBJECT,
     members.SUBJECT,
     *members_faults.SUBJECTS,
     members_processes.SUBJECT,
--- /dev/null
+++ b/fleetlab/scale/subjects/replacement.py
@@ -0,0 +1,90 @@
+"""A relay's process is replaced by the next one: how long a client waits, by the length of the list."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from pathlib import Path
+
+from fleetlab.scale.child import Child
+from fleetlab.scale.directory import Counts, Tell, directory_process
+from fleetlab.scale.intake import ASK_S, PATIENCE_S, RelayWorld, longest_wait_s
+from fleetlab.scale.records import Reading, ScaleError, Source
+from fleetlab.scale.subject import Subject
+
+REPLACED_S = 30.0  # s in which the next process has to serve
+LOOK_S = 0.02  # s between looks whether it does
+BYTES_PER_ENDPOINT = 20_000  # upper estimate of memory for one endpoint in both processes
+
+
+def measure(size: int, seed: int) -> list[Reading]:
+    """Replace a real process that knows the whole list while a client asks every 20 ms."""
+    with (
+        directory_process(size, seed) as directory,
+        tempfile.TemporaryDirectory(prefix="scale-") as folder,
+    ):
+        return asyncio.run(_measure(Path(folder), directory, size))
+
+
+async def _measure(folder: Path, directory: Child[Counts], size: int) -> list[Reading]:
+    world = RelayWorld(folder, directory.order(Tell()).port)
+    await world.start()
+    world.listen()
+    try:
+        client = await world.run()
+        await _until_known(world, size)
+        ended = asyncio.Event()
+        questions = asyncio.create_task(longest_wait_s(client, ended))
+        begun_s = time.monotonic()
+        await _replace(world)
+        replaced_s = time.monotonic() - begun_s
+        ended.set()
+        waited_s = await questions
+        known = (await world.figures())["endpoints_known"]
+        return [
+            Reading("real_known_after_endpoints", float(known)),
+            Reading("real_replaced_seconds", replaced_s, Source.TIMED),
+            Reading("real_longest_client_wait_seconds", waited_s, Source.TIMED),
+        ]
+    finally:
+        await world.stop()
+
+
+async def _until_known(world: RelayWorld, size: int) -> None:
+    """Wait for the whole list; ``ScaleError`` where it does not come within the bound."""
+    by_s = time.monotonic() + PATIENCE_S
+    while (await world.figures())["endpoints_known"] != size:
+        if time.monotonic() > by_s:
+            raise ScaleError(f"the list of {size} endpoints did not come within {PATIENCE_S:.0f} s")
+        await asyncio.sleep(ASK_S)
+
+
+async def _replace(world: RelayWorld) -> None:
+    """Start the next process, and wait until it serves and the old one is gone."""
+    old, world.admin_port = world.process, world.free_port()
+    assert old is not None
+    async with asyncio.timeout(REPLACED_S):
+        await world.spawn()
+        while not await _serves(world):
+            await asyncio.sleep(LOOK_S)
+        await old.wait()
+
+
+async def _serves(world: RelayWorld) -> bool:
+    """Whether the present process answers operators and takes clients."""
+    with contextlib.suppress(OSError):
+        return (await world.call("GET", "health"))[0] == 200
+    return False
+
+
+SUBJECT = Subject(
+    name="replacement",
+    about="a real relay process is replaced while a client asks",
+    axis="endpoints in the list",
+    sizes=(20, 200, 2_000, 7_000, 15_000, 31_000),
+    target=31_000,
+    memory_bytes=lambda size: size * BYTES_PER_ENDPOINT,
+    measure=measure,
+)
