Let what a run saw before its load stand at negative times

Need: the clock begins anew with the load, but records of the start kept their old times, so that a start of 0.2 s lay within the load. Change: History keeps what comes before the load and writes it at its time before it. A test looks at these times.

--- a/fleetlab/lab.py
+++ b/fleetlab/lab.py
@@ -70,21 +70,42 @@
 
 
 class History:
-    """The file that all records go to, in the order in which they were seen."""
+    """The file that all records go to, in the order in which they were seen; the load begins at 0 s.
+
+    What was seen before the load is written once that begins, at negative times.
+    """
 
     def __init__(self, path: Path) -> None:
         self._file = path.open("wb", buffering=FLUSH_BYTES)
+        self._early: list[records.AnyRecord] = []  # seen before the load
+        self._begun = False
         self.taps: list[Callable[[records.AnyRecord], None]] = []
 
     def __call__(self, record: records.AnyRecord) -> None:
         """Note a record, and tell those who follow the run."""
-        if not self._file.closed:
+        if self._file.closed:
+            return
+        if self._begun:
             self._file.write(records.line_of(record))
-            for tap in self.taps:
-                tap(record)
+        else:
+            self._early.append(record)
+        for tap in self.taps:
+            tap(record)
+
+    def begin_load(self, at_s: float) -> None:
+        """The load begins, so many seconds after the time from which records have counted so far."""
+        for record in self._early:
+            is_head = isinstance(record, records.Head)
+            moved = record if is_head else msgspec.structs.replace(record, t=record.t - at_s)
+            self._file.write(records.line_of(moved))
+        self._early.clear()
+        self._begun = True
+        self(records.Phase(0.0, "load"))
 
     def close(self) -> None:
-        """Write out what is left."""
+        """Write out what is left; of a run that had no load, at the times as they were noted."""
+        if not self._file.closed:
+            self._file.writelines(map(records.line_of, self._early))
         self._file.close()
 
 
@@ -346,8 +367,8 @@
             scenario.load, scenario.classes, scenario.tenants, [site.spec.dest for site in self.sites],
             seconds=scenario.seconds, seed=self.seed,
         )  # fmt: skip
+        self.history.begin_load(self._clock.now())
         self._clock.restart()
-        self.history(records.Phase(0.0, "load"))
         self._spawn(self._measure_lag())
         for item in self._planned:
             for name, at_s in item.on:
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -257,6 +257,15 @@
     assert findings(Run(clean))[name]
 
 
+def test_what_came_before_the_load_stands_before_it(days: Days) -> None:
+    """A start that seems to lie within the load would be taken for a restart, and excuse what is none."""
+    some = history(days)
+    load = next(at for at, item in enumerate(some) if isinstance(item, records.Phase))
+    early = some[1:load]
+    assert {"start", "ready"} <= {item.event for item in early if isinstance(item, records.Process)}
+    assert all(item.t < 0 for item in early)
+
+
 def test_old_news_that_counts_as_told_undoes_no_later_news(days: Days) -> None:
     """A drain and its end were told at once: six seconds after the drain nothing new is learnt of it."""
     some = history(days)
