--- a/fleetlab/scale/held_load.py
+++ b/fleetlab/scale/held_load.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from fleetlab.scale.endpoints import ZONES
 from mallowlug.journal import reserve
 from mallowlug.relay import Handed, Held
 from mossfront.interface import Effect, Entry, Listing, MessageClass, Settings
@@ -13,7 +14,6 @@
 DESTINATIONS = 31_000
 DOWN = 682  # of them, 2.2%
 BODY_BYTES = 200
-ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
 KIND = "franchisee"
 HOUR_US = 3_600_000_000
 START_US = 4_000_000_000_000_000  # simulated time begins in the distant future: a real clock is before it
--- a/fleetlab/scale/traffic.py
+++ b/fleetlab/scale/traffic.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Protocol
 
+from fleetlab.scale.endpoints import ZONES
 from fleetlab.scale.process import processor_seconds
 from mossfront.brain import Relay
 from mossfront.interface import (
@@ -38,11 +39,8 @@
 
 SECOND_US = 1_000_000
 CONNECT_FAILED_US, REFUSED_US = 20_000, 30_000  # us that a failed connection and a refusal take
-USUAL_US, SPREAD = (
-    180_000,
-    0.5,
-)  # of answers: the median, and the deviation of the logarithm; 204 ms on average
-ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
+USUAL_US = 180_000  # us of answers: the median; 204 ms on average
+SPREAD = 0.5  # of answers: the deviation of the logarithm
 STATUS = MessageClass("status", Effect.SAFE, 1_500_000, 6_000_000)
 ORDER = MessageClass("order", Effect.KEYED, 3_000_000, 16_000_000, 2.0, 0.5, window_us=15_000_000)
 PAYMENT = MessageClass("payment", Effect.UNSAFE, 2_000_000, 28_000_000, 4.0, 0.3)
