Draw the fits of a scale plot as lines of many points

Seen: between its two ends alone a fit looked straight on logarithmic axes, where a line with an intercept is curved, and missed the points in between. Change: sixty points of it are drawn.

--- a/fleetlab/scale/plot.py
+++ b/fleetlab/scale/plot.py
@@ -5,12 +5,14 @@
 from pathlib import Path
 
 import matplotlib as mpl
+import numpy as np
 from matplotlib.figure import Figure
 
 from fleetlab.scale.records import ScaleReport, Slope
 
 COLUMNS = 3
 WIDTH_INCHES, HEIGHT_INCHES = 4.2, 3.2
+LINE_POINTS = 60  # of a fit: a straight line is curved on logarithmic axes
 
 
 def write_plot(report: ScaleReport, path: Path) -> None:
@@ -33,8 +35,8 @@
         if reading.figure == slope.figure
     ]
     axes.plot([size for size, _ in points], [value for _, value in points], "o")
-    ends = [min(slope.sizes), max(*slope.sizes, slope.target)]
-    axes.plot(ends, [slope.intercept + slope.slope * size for size in ends], "-", linewidth=1)
+    sizes = np.geomspace(min(slope.sizes), max(*slope.sizes, slope.target), LINE_POINTS)
+    axes.plot(sizes, slope.intercept + slope.slope * sizes, "-", linewidth=1)
     axes.axvline(slope.target, linestyle="--", linewidth=1, color="#999999")
     axes.set_xscale("log")
     if all(value > 0 for _, value in points):
