End the relay that a test of its configuration starts

Seen: a relay's process stayed behind each run of the tests, by its environment from test_a_configuration_that_cannot_be_used_is_told[known]. Cause: the test starts it beside the world, which ends only those it knows. Change: the world knows it. Measured: no process is left.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -193,6 +193,7 @@
     world.process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "mallowlug", cwd=ROOT, env=environment
     )
+    world.processes.append(world.process)
     if missing == "known":
         assert await (await world.client()).command(b"PING") == b"+PONG"
     else:
