Read a process's memory and a list's size by one piece each in the scale tests

Cause: fleetlab.scale.process read VmRSS itself where mallowlug.cost.memory_of does, and three modules each had the relay's memory or the estimate for an endpoint. Change: memory_of serves, and fleetlab/scale/endpoints.py holds both figures. No behaviour is changed.

--- a/fleetlab/scale/endpoints.py
+++ b/fleetlab/scale/endpoints.py
@@ -10,6 +10,8 @@
 
 ZONES = ("east-1", "east-2", "east-3", "west-1", "west-2")
 KIND = "franchisee"
+RELAY_MEMORY_BYTES = 192_000_000  # of a relay, as the tests' stand-ins configure it
+BYTES_PER_ENDPOINT = 20_000  # upper estimate of what a measurement needs for one, text and objects together
 ENCODE = msgspec.json.Encoder().encode
 
 
@@ -21,6 +23,11 @@
     ]
 
 
+def memory_bytes(size: int) -> int:
+    """An upper estimate of what a relay's measurement with so long a list needs."""
+    return size * BYTES_PER_ENDPOINT
+
+
 def dial(number: int) -> str:
     """The address of an endpoint; nothing listens there, and it leads nowhere off the machine."""
     return f"127.{1 + (number >> 16)}.{(number >> 8) & 255}.{number & 255}:9"
--- a/fleetlab/scale/process.py
+++ b/fleetlab/scale/process.py
@@ -6,15 +6,14 @@
 import time
 from pathlib import Path
 
-KIB = 1024
+from mallowlug.cost import memory_of
+
+OWN_FOLDER = Path("/proc/self")
 
 
 def resident_bytes() -> int:
     """Memory that this process holds now, by the system's accounting."""
-    for line in Path("/proc/self/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * KIB
-    raise OSError("the system does not tell resident memory")
+    return memory_of(OWN_FOLDER)["VmRSS"]
 
 
 def processor_seconds() -> float:
--- a/fleetlab/scale/subjects/endpoint_list.py
+++ b/fleetlab/scale/subjects/endpoint_list.py
@@ -15,9 +15,6 @@
 from mossfront.brain import Relay
 from mossfront.interface import Effect, MessageClass, Roster, RosterKind, Settings
 
-MEMORY_BYTES = 192_000_000  # of a relay, as the stand-ins of the tests configure it
-BYTES_PER_ENDPOINT = 20_000  # upper estimate of memory for one endpoint, text and objects together
-
 
 def settings() -> Settings:
     """A relay of a fleet of 600 with one class of message."""
@@ -75,7 +72,7 @@
     step_s = processor_seconds() - begun_s
     return [
         Reading("whole_list_bytes", float(len(line))),
-        Reading("fits_one_line", float(len(line) <= most_line_bytes(MEMORY_BYTES))),
+        Reading("fits_one_line", float(len(line) <= most_line_bytes(endpoints.RELAY_MEMORY_BYTES))),
         Reading("endpoints_known", float(relay.known)),
         timed("read_processor_seconds", read_s),
         timed("longest_step_processor_seconds", step_s),
@@ -93,6 +90,6 @@
     axis="endpoints in the list",
     sizes=(20, 200, 2_000, 7_000, 15_000, 31_000),
     target=31_000,
-    memory_bytes=lambda size: size * BYTES_PER_ENDPOINT,
+    memory_bytes=endpoints.memory_bytes,
     measure=measure,
 )
--- a/fleetlab/scale/subjects/replacement.py
+++ b/fleetlab/scale/subjects/replacement.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+from fleetlab.scale import endpoints
 from fleetlab.scale.child import Child
 from fleetlab.scale.directory import Counts, Tell, directory_process
 from fleetlab.scale.intake import ASK_S, PATIENCE_S, RelayWorld, longest_wait_s
@@ -16,7 +17,6 @@
 
 REPLACED_S = 30.0  # s in which the next process has to serve
 LOOK_S = 0.02  # s between looks whether it does
-BYTES_PER_ENDPOINT = 20_000  # upper estimate of memory for one endpoint in both processes
 
 
 def measure(size: int, seed: int) -> list[Reading]:
@@ -85,6 +85,6 @@
     axis="endpoints in the list",
     sizes=(20, 200, 2_000, 7_000, 15_000, 31_000),
     target=31_000,
-    memory_bytes=lambda size: size * BYTES_PER_ENDPOINT,
+    memory_bytes=endpoints.memory_bytes,
     measure=measure,
 )
--- a/fleetlab/scale/watching.py
+++ b/fleetlab/scale/watching.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from fleetlab.scale.child import Child, carry_out
+from fleetlab.scale.endpoints import RELAY_MEMORY_BYTES
 from mallowlug.discovery import Watch, most_line_bytes
 from mallowlug.host_list import HostList
 from mallowlug.http import Address
@@ -23,7 +24,6 @@
 AT_ONCE = 10  # watchers that come up together at the start
 LOOK_S = 0.01  # s between looks whether they are up
 LOOPBACK = "127.0.0.1"
-MEMORY_BYTES = 192_000_000  # of a relay, on which the longest line depends
 
 
 class Reached(msgspec.Struct, frozen=True, tag="reached"):
@@ -52,7 +52,7 @@
             told=self._told,
             told_in_pieces=self._told_long,
             failed=self._failed,
-            most_line=most_line_bytes(MEMORY_BYTES),
+            most_line=most_line_bytes(RELAY_MEMORY_BYTES),
         )
         self._again: asyncio.TimerHandle | None = None
         self.heard_s = 0.0
