Log calls across a handover, repeats and calls called off; count refusals and partings by reason

Change: a line for each call that is given to and taken over by the next process, for a call that the module calls off and for a repeat that begins, with the port of the connection; figures of calls out by who counts them (network, module), of clients' connections that the relay ended and of messages that it refused, by reason. Measured: tests/test_cost.py, tests/test_hosts.py pass, with a test for the lines and one for the figures of a real process.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -94,6 +94,9 @@
                 "operators": len(self.admin.callers),
                 "files": FILES,
             },
+            calls=self.driver.calls,
+            partings={str(why): count for why, count in self.server.partings.items()},
+            refusals={str(why): count for why, count in self.driver.refusals.items()},
         )
 
     def _tell_costs_later(self) -> None:
--- a/mallowlug/clients.py
+++ b/mallowlug/clients.py
@@ -7,13 +7,14 @@
 import math
 import re
 import socket
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from contextlib import suppress
 from typing import Any
 
 from mallowlug import resp
 from mallowlug.listen import Listener
+from mallowlug.reasons import Parting, Refusal
 from mallowlug.relay import Driver, Handed
 
 LOG = logging.getLogger(__name__)
@@ -128,10 +129,10 @@
             self._serve(data)
         except resp.ProtocolError as error:
             LOG.info("clients: a broken frame: %s", error)
-            self._part(b"-ERR Protocol error\r\n")
+            self._part(Parting.BROKEN_REQUEST, b"-ERR Protocol error\r\n")
         except Exception:
             LOG.exception("clients: a connection broke")
-            self._part(b"-ERR internal error\r\n")
+            self._part(Parting.INTERNAL_ERROR, b"-ERR internal error\r\n")
 
     def _serve(self, data: bytes) -> None:
         assert self._transport is not None
@@ -143,7 +144,7 @@
         self._count(len(self._data))
         if self._data and self._server.unfinished_bytes > self._server.most_unfinished_bytes:
             LOG.warning("clients: a request was refused: unfinished ones come to too many bytes")
-            self._part(self._server.busy)
+            self._part(Parting.UNFINISHED_BYTES, self._server.busy)
             return
         if self._data and self._timer is None:
             self._wait()
@@ -183,7 +184,8 @@
 
     def _late(self) -> None:
         # Where no request has begun, a line would be read as the answer to one that crosses it.
-        self._part(b"-ERR no whole request in time\r\n" if self._data else b"")
+        line = b"-ERR no whole request in time\r\n" if self._data else b""
+        self._part(Parting.NO_REQUEST_IN_TIME, line)
 
     def _rest(self) -> None:
         """Nothing is waited for: a served connection may stand idle between its requests."""
@@ -191,7 +193,7 @@
             self._timer.cancel()
             self._timer = None
 
-    def _part(self, line: bytes) -> None:
+    def _part(self, why: Parting, line: bytes = b"") -> None:
         """Tell the peer why and end the sending; what still comes is read and dropped for a moment.
 
         Closing over bytes that nobody read would reset the connection, and a reset takes what was written
@@ -202,7 +204,7 @@
         self._rest()
         self._parted, self._data, self._stirred = True, bytearray(), False
         self._count(0)
-        self._server.parts(self)
+        self._server.parts(self, why)
         self._transport.write(line)
         with suppress(OSError):  # its peer has reset it, and the loop has not told so yet
             self._transport.write_eof()
@@ -236,7 +238,7 @@
         self._closing = False
         over = self._transport is None or self._transport.is_closing() or self._parted
         if not over and not self._data:  # else the answer to what has begun meanwhile ends it
-            self._part(b"")
+            self._part(Parting.SHUTDOWN)
 
     def end(self) -> None:
         """End it between requests: now, or once the request that is coming in has its answer."""
@@ -247,7 +249,7 @@
     def give_way(self) -> None:
         """End it for its descriptor: now, and a request that is coming in is refused."""
         if not self._parted:
-            self._part(self._server.busy if self._data else b"")
+            self._part(Parting.DESCRIPTOR_WANTED, self._server.busy if self._data else b"")
 
 
 class Server:
@@ -259,6 +261,7 @@
         self.unfinished_bytes, self.most_unfinished_bytes = 0, int(memory_bytes * UNFINISHED_SHARE)
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one heard of last stands last
         self.parting: OrderedDict[Client, None] = OrderedDict()  # those whose sending was ended, in turn
+        self.partings: Counter[Parting] = Counter()  # connections that were ended from here
         self.listener: Listener | None = None
         self.refusing = False
 
@@ -299,8 +302,9 @@
         if self.refusing:
             client.ending = True
 
-    def parts(self, client: Client) -> None:
+    def parts(self, client: Client, why: Parting) -> None:
         """The sending to a client was ended; of too many such, the first one is closed at once."""
+        self.partings[why] += 1
         self.clients.pop(client, None)
         self.parting[client] = None
         if len(self.clients) + len(self.parting) > self.most * (1 + PARTING_SHARE):
@@ -349,8 +353,9 @@
             return b"-ERR %s\r\n" % str(error).encode()
         if not self._driver.knows_class(handed.cls):
             return b"-ERR unknown class\r\n"
-        if self.refusing or not self._driver.accept(handed, body):
-            self._driver.refused(handed.cls)
+        refusal = Refusal.SHUTDOWN if self.refusing else self._driver.accept(handed, body)
+        if refusal is not None:
+            self._driver.refused(handed.cls, refusal)
             return self.busy
         return b"+OK\r\n"
 
--- a/mallowlug/cost.py
+++ b/mallowlug/cost.py
@@ -14,7 +14,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 TICK_S = 1.0  # s between looks at the loop's lag
@@ -32,6 +32,9 @@
     journal_bytes: int
     journal_writes: int
     descriptors: Mapping[str, int]  # by purpose
+    calls: Mapping[str, int] = field(default_factory=dict)  # out now, by who counts them
+    partings: Mapping[str, int] = field(default_factory=dict)  # clients' connections ended here, by reason
+    refusals: Mapping[str, int] = field(default_factory=dict)  # messages not taken on, by reason
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,9 @@
         ("descriptors.open", system.descriptors, "g"),
         *((f"descriptors.{purpose}", count, "g") for purpose, count in counted.descriptors.items()),
         ("descriptors.rest", None if rest is None else max(0, rest), "g"),
+        *((f"calls.{name}", count, "g") for name, count in counted.calls.items()),
+        *((f"clients.ended.{why}", count, "c") for why, count in counted.partings.items()),
+        *((f"clients.refused.{why}", count, "c") for why, count in counted.refusals.items()),
         ("messages.ended", ended, "c"),
         ("journal.bytes", counted.journal_bytes, "c"),
         ("journal.writes", counted.journal_writes, "c"),
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -20,7 +20,7 @@
 import h11
 
 from mallowlug.host_list import HostList, Listed
-from mallowlug.http import FAULTS, SHORT, Address, Connection, Headers
+from mallowlug.http import FAULTS, SHORT, Address, Connection, Headers, own_port
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
@@ -83,7 +83,10 @@
     @property
     def connection_was(self) -> str:
         """What its connection was, in words."""
-        return "new" if self.idle_ms is None else f"{self.idle_ms} ms idle"
+        if self.connection is None:
+            return "none"
+        age = "new" if self.idle_ms is None else f"{self.idle_ms} ms idle"
+        return f"from port {self.connection.own_port}, {age}"
 
     @property
     def written(self) -> bool:
@@ -100,6 +103,16 @@
         """The parts that have no outcome yet."""
         return [part for part in self.parts if not part.settled]
 
+    @property
+    def attempts(self) -> str:
+        """Its messages with the numbers of their attempts, for the log."""
+        return " ".join(f"{part.id} #{part.attempt}" for part in self.parts)
+
+    @property
+    def age_ms(self) -> int:
+        """Milliseconds since it was sent."""
+        return int((time.monotonic() - self.sent_s) * 1000)
+
 
 @dataclass(frozen=True, slots=True)
 class Left:
@@ -334,6 +347,11 @@
                 came = bytes(call.connection.came)
                 fds.append(call.connection.sock.fileno())
             calls.append((copy, came))
+            LOG.info(
+                "handover: call to %s with %s given after %d ms, connection %s, %s",
+                call.host, call.attempts, call.age_ms, call.connection_was,
+                "not written whole" if came is None else f"{len(came)} bytes of its answer read",
+            )  # fmt: skip
         idle = [(host, connection) for host, items in self._idle.items() for connection, _ in items]
         idle = idle[: max(0, room - len(fds))]
         fds += [connection.sock.fileno() for _, connection in idle]
@@ -348,8 +366,13 @@
                     self._settle(call, part, Told(Verdict.NOT_SENT))
                 continue
             call.connection = Connection(next(socks), self._dial(call.host))
+            call.connection.own_port = own_port(call.connection.sock)
             request_of(call.connection, call.carried)  # its bytes are out; the answer is read as theirs
             call.connection.read_on(came)
+            LOG.info(
+                "handover: call to %s with %s taken over after %d ms, connection %s",
+                call.host, call.attempts, call.age_ms, call.connection_was,
+            )  # fmt: skip
             self._start(call, self._answered, call.sent_s)
         for host, kept_s in left.idle:
             connection = Connection(next(socks), self._dial(host))
@@ -364,6 +387,13 @@
         for call in list(self.calls):
             for part in call.open:
                 if (part.id, part.attempt) == (ref, attempt):
+                    LOG.info(
+                        "attempt: %s #%d at %s is called off after %d ms",
+                        ref,
+                        attempt,
+                        call.host,
+                        call.age_ms,
+                    )
                     self._after_answer(call, self._stop, call, part, Verdict.CANCELLED)
 
     def close_idle(self, host: str) -> None:
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -21,11 +21,20 @@
 REST_S = 0.1  # s for the rest of an answer whose first line has said all that matters
 
 
+def own_port(sock: socket.socket) -> int:
+    """The port of this side; 0 where the system does not tell it."""
+    try:
+        return int(sock.getsockname()[1])
+    except OSError:
+        return 0
+
+
 class Connection:
     """A connection whose owner knows exactly how many bytes of its request are still here."""
 
     def __init__(self, sock: socket.socket, address: Address) -> None:
         self.sock, self.unsent, self._address = sock, 0, address
+        self.own_port = 0  # by which the other side's records name it; 0: not known
         self.begun = False  # whether a byte of the present request has gone out
         self.kept_s = 0.0  # monotonic time since which it stands idle; 0 until its first call is over
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
@@ -47,7 +56,9 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock, address)
+        connection = cls(sock, address)
+        connection.own_port = own_port(sock)
+        return connection
 
     def request(
         self, method: str, target: str, headers: Headers, body: bytes = b"", brief: bool = False
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -26,6 +26,7 @@
 from mallowlug.hosts import Call, Hosts, Left, Part, Told
 from mallowlug.http import Address
 from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
+from mallowlug.reasons import Refusal
 from mossfront import Relay as Module
 from mossfront import interface as api
 from mossfront import lanes, state
@@ -163,6 +164,7 @@
         self._bodies_bytes, self._most_bodies_bytes = 0, int(config.memory_bytes * BODIES_SHARE)
         self._over: OrderedDict[str, None] = OrderedDict()
         self._ended: Counter[tuple[str, str]] = Counter()  # messages by class and how they ended
+        self.refusals: Counter[Refusal] = Counter()  # at the door
         self._inbox: list[api.Event] = []
         self._timer: asyncio.TimerHandle | None = None
         self._steps_awaited: list[asyncio.Future[None]] = []  # of who waits for the next step's end
@@ -277,6 +279,11 @@
             self._module.excluded,
         )
 
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls out by who counts them; they differ for no longer than a step takes to come."""
+        return {"network": len(self._hosts.calls), "module": self._module.calls_out}
+
     @property
     def descriptors(self) -> dict[str, int]:
         """Open ones by purpose; a connection that is coming up is not counted yet."""
@@ -286,9 +293,10 @@
             "discovery": self._watch.connections + self._notices.connections,
         }
 
-    def refused(self, cls: str) -> None:
+    def refused(self, cls: str, why: Refusal) -> None:
         """Count a message that was turned away at the door."""
         self._ended[cls, REFUSED] += 1
+        self.refusals[why] += 1
 
     @property
     def idle(self) -> bool:
@@ -304,26 +312,26 @@
         """Whether the settings name the class; the module would drop any other unseen."""
         return name in self._classes
 
-    def accept(self, handed: Handed, body: bytes) -> bool:
-        """Take a message on, journaled; False where there is no room, and nothing was kept.
+    def accept(self, handed: Handed, body: bytes) -> Refusal | None:
+        """Take a message on, journaled; why not where there is no room, and nothing was kept.
 
         An id that is known is the same request once more, on a new connection: it is taken on already.
         """
         if handed.id in self._held or handed.id in self._over:
-            return True
+            return None
         if len(self._held) >= self._set.hold_cap:
-            return False
+            return Refusal.HELD_MESSAGES
         if self._bodies_bytes + len(body) > self._most_bodies_bytes:
             LOG.warning("a message was refused: held bodies come to %d bytes", self._bodies_bytes)
-            return False
+            return Refusal.HELD_BODIES
         try:
             self._journal.accept(handed.id, handed.fields, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error)
-            return False
+            return Refusal.JOURNAL
         self._hold(handed, body)
         self._post(self._arrival(handed, self.clock()))
-        return True
+        return None
 
     def _hold(self, handed: Handed, body: bytes, attempts: int = 0) -> None:
         self._held[handed.id] = Held(handed, body, attempts)
@@ -533,6 +541,8 @@
             if not parts:
                 continue
             call = Call(host, parts, time.monotonic())
+            if any(part.attempt for part in parts):
+                LOG.info("attempt: %s at %s begins", call.attempts, host)
             try:
                 self._journal.tries(tries)
             except JournalFullError as error:
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -456,6 +456,15 @@
 
         await soon(seen())
 
+    async def cost_is(self, name: str, value: int) -> None:
+        """Wait until a figure of what the process costs has a value."""
+
+        async def seen() -> None:
+            while (await self.costs()).get(name) != value:
+                await asyncio.sleep(0.01)
+
+        await soon(seen())
+
     async def move(self) -> None:
         """Discovery moves to another port, the old one takes nothing new, and the relay gets SIGHUP."""
         assert self.process is not None
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -185,3 +185,22 @@
     await until(taken_over)
     assert (await manned.costs())["messages.ended"] == 0
     assert (await manned.figures())["requests.safe.served"] == 0
+
+
+async def test_calls_refusals_and_parted_clients_are_told_by_what_they_are(manned: World) -> None:
+    """Calls out as the connections and as the module count them: what is never let go of shows there."""
+    manned.settings["allowed"]["open_cap"] = 3
+    host = await manned.add("h1", silent)
+    client = await manned.run()
+    await manned.counted("endpoints_known", 1)
+    assert await client.hand_in("m1") == b"+OK"
+    await host.call(0)
+    told = await manned.costs()
+    assert (told["calls.network"], told["calls.module"]) == (1, 1)
+    answers = [await client.hand_in(f"m{number}") for number in range(2, 6)]
+    refused = sum(answer.startswith(b"-BUSY") for answer in answers)
+    broken = await manned.client()
+    await broken.raw(b"*1\r\n$x\r\n")
+    told = await manned.costs()
+    assert told["clients.refused.held_messages"] == refused > 0
+    assert told["clients.ended.broken_request"] == 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -44,7 +44,7 @@
     """Whether it counted is the platform's to know: an answer after the message's time ends nothing."""
     host = await world.add("h1", silent)
     begun_s = time.monotonic()
-    assert driver.accept(handed(driver, "m1", "unsafe", 1.0), b"x")
+    assert driver.accept(handed(driver, "m1", "unsafe", 1.0), b"x") is None
     delivered(await host.call(0))
     hold_until(begun_s + 1.01)
     assert await world.directory.notice("m1") == {"ref": "m1", "result": "dead"}
@@ -54,8 +54,8 @@
 
 async def test_a_delivery_before_the_end_of_its_time_is_its_only_end(world: World, driver: Driver) -> None:
     host = await world.add("h1")
-    assert driver.accept(handed(driver, "m1", "unsafe", 5.0), b"x")
-    assert driver.accept(handed(driver, "m2", "unsafe", 0.3), b"x")
+    assert driver.accept(handed(driver, "m1", "unsafe", 5.0), b"x") is None
+    assert driver.accept(handed(driver, "m2", "unsafe", 0.3), b"x") is None
     host.script += [delivered, silent]
     await world.directory.notice("m2")
     assert [notice["ref"] for notice in world.directory.notices] == ["m2"]
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -614,3 +614,26 @@
 def test_waits_and_reports(wait: str, pressure: str, wait_us: int, report: dict[str, float]) -> None:
     answer = h11.Response(status_code=200, headers=[("X-Retry-In-Ms", wait), ("X-Pressure", pressure)])
     assert (wait_of(answer), report_of(answer)) == (wait_us, report)
+
+
+async def test_a_call_that_goes_to_another_process_is_logged_on_both_sides(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """With the port by which the host's records name its connection: else nothing tells who held it."""
+    caplog.set_level("INFO", "mallowlug.hosts")
+    host = await serving(silent)
+    calls = Calls(host.port)
+    call = calls.send("m1")
+    await host.call(0)
+    assert call.connection is not None
+    port = call.connection.own_port
+    left, fds = calls.hosts.leave(10)
+    after = Calls(host.port)
+    after.hosts.take(left, iter([socket.socket(fileno=os.dup(fd)) for fd in fds]))
+    lines = [line for line in caplog.messages if line.startswith("handover: call to h1 with m1 #0")]
+    assert ["given after" in line for line in lines] == [True, False]
+    assert ["taken over after" in line for line in lines] == [False, True]
+    assert all(f"connection from port {port}, new" in line for line in lines)
+    after.hosts.cancel("m1", 0)
+    assert any(line.startswith("attempt: m1 #0 at h1 is called off") for line in caplog.messages)
+    host.stop()
