Reproduce a second copy after a replacement of the process, on real processes

Seen: four calls hang alone and hold half of the slots while a later one was answered; the next process takes all over and calls the four off in its first step. The endpoint sees the repeats come while the connections of the first attempts are open. Held until the right moment by the new operators' address, which the new process waits for; no signal and no patched code. Ruled out by the log of the reproduction: two processes acting at once (every line of the attempts is the new process's), a call of several, a call that was not settled (each is told as cancelled), and descriptors open twice (calls.network stays at 4).

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 import pytest
 
 from mallowlug import handover
-from standins.scripted import Client, World, enqueue, packed, silent, soon
+from standins.scripted import Client, World, delivered, enqueue, packed, silent, soon
 
 
 @pytest.fixture
@@ -312,3 +312,42 @@
             await asyncio.sleep(0.01)
 
     await soon(looks())
+
+
+@pytest.mark.parametrize("cls", ["safe", "keyed"])
+async def test_a_call_that_the_new_process_calls_off_at_once_is_closed_before_its_repeat(
+    held: World, cls: str
+) -> None:
+    """Four calls hang alone and take half of the slots; the first step after the hand-over ends them."""
+    host = await held.add("h1", silent)
+    client = await held.run()
+    await held.counted("endpoints_known", 1)
+    await client.hand_in("m0", cls)
+    first = await host.call(0)
+    await asyncio.sleep(0.3)  # calls count as overdue after five times that
+    first.answer()
+    await held.counted(f"requests.{cls}.served", 1)
+    refs = ["m1", "m2", "m3", "m4"]
+    for ref in refs:
+        await client.hand_in(ref, cls)
+    await host.call(4)
+    hung_s = asyncio.get_running_loop().time()
+    host.script.append(lambda request: request.answer())
+    await client.hand_in("m5", cls)
+    await held.counted(f"requests.{cls}.served", 2)
+    held.admin_port = held.free_port()
+    with socket.create_server((held.address, held.admin_port)):  # which the new process waits for
+        await held.spawn()
+        await asyncio.sleep(max(0.0, hung_s + 3.1 - asyncio.get_running_loop().time()))
+    hung = {ref: request for request in host.seen for ref in request.ids if ref in refs}
+    host.default = delivered
+
+    def repeated() -> set[str]:
+        return {ref for request in host.seen[6:] for ref in request.ids}
+
+    await host.until(lambda: repeated() == set(refs))
+    async with asyncio.timeout(1):
+        while any(request.writer in host.writers for request in hung.values()):
+            await asyncio.sleep(0.01)
+    await held.cost_is("calls.module", 0)
+    assert (await held.costs())["calls.network"] == 0
