Close a call's connection before its end is told, not from its task

Cause: Hosts._stop settled a call's messages and cancelled its task; only the task's 'finally' closed the connection and let go of the call. Driver.go_on makes the tasks of calls that were taken over and takes the module's first step in the same turn of the loop. Where that step calls one off, its task is cancelled before its first turn, and a task cancelled so never runs any of its body (probe: neither the line before 'try' nor the 'finally' of such a task ran). The outcome was told, the message sent again, the connection left open, the call counted as out for good. Change: whoever ends a call closes its connection in the same breath and before anybody is told (Hosts._end); the task's own end only repeats that. A connection that waits for room to write takes its writer out of the loop when it is closed. Class: cleaning up that hangs on a task which may never run; and an end told before the thing ended.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -407,8 +407,7 @@
         for call in list(self.calls):
             for part in call.open:
                 self._settle(call, part, None)
-            if call.task is not None:
-                call.task.cancel()
+            self._end(call)
         for host in list(self._idle):
             self.close_idle(host)
 
@@ -469,8 +468,8 @@
                 self._settle(call, part, Told(Verdict.NOT_SENT))
         if call.open:
             self._bar_later(call)
-        elif call.task is not None:
-            call.task.cancel()
+        else:
+            self._end(call)
 
     def _out_of_time(self, call: Call) -> None:
         """The time of one of its messages is up."""
@@ -488,12 +487,25 @@
         last = whole or len(call.open) == 1
         begun = call.connection is not None and call.connection.begun
         ran = call.written if last else begun  # others' bytes that follow may complete the call
+        if last:
+            self._end(call)
         if call.delivered:  # its first line came, the rest did not
             LOG.info("hosts: %s is delivered by its first line alone: %s", part.id, verdict.value)
             self._settle(call, part, Told(Verdict.OK, complete=True))
         else:
             self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
-        if last and call.task is not None:
+
+    def _end(self, call: Call) -> None:
+        """Close a call's connection before anybody is told of its end, who may send its messages again.
+
+        Left to the task's own end that would come late, and not at all where the task has not begun yet.
+        """
+        self.calls.discard(call)
+        if call.connection is not None:
+            call.connection.close()
+        if call.bar is not None:
+            call.bar.cancel()
+        if call.task is not None:
             call.task.cancel()
 
     async def _run(self, call: Call, exchange: Callable[[Call], Awaitable[bool]]) -> None:
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -42,6 +42,7 @@
         self._brief, self._by_s = False, math.inf  # whether 200 says all; the loop's time to wait until then
         self._loop = asyncio.get_running_loop()
         self._watched = False  # whether the loop looks for bytes; it goes on between calls
+        self._writing = False  # whether it looks for room to write
         self._waiter: asyncio.Future[None] | None = None  # of an answer's next bytes
         self.unasked: Callable[[], None] | None = None  # told of bytes or an end that nobody waits for
 
@@ -99,10 +100,16 @@
     async def _writable(self) -> None:
         ready = asyncio.Event()
         self._loop.add_writer(self.sock.fileno(), ready.set)
+        self._writing = True
         try:
             await ready.wait()
         finally:
+            self._stop_writing()
+
+    def _stop_writing(self) -> None:
+        if self._writing:
             self._loop.remove_writer(self.sock.fileno())
+            self._writing = False
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         """The next part of the answer; a broken or ended connection raises."""
@@ -245,8 +252,9 @@
         return False
 
     def close(self) -> None:
-        """Give the connection up, and with it a call that is out on it."""
+        """Give the connection up, and with it a call that is out on it; once more changes nothing."""
         self._unwatch()
+        self._stop_writing()
         self.sock.close()
 
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -637,3 +637,48 @@
     after.hosts.cancel("m1", 0)
     assert any(line.startswith("attempt: m1 #0 at h1 is called off") for line in caplog.messages)
     host.stop()
+
+
+@pytest.mark.parametrize("started", [True, False])
+async def test_a_connection_is_closed_before_its_call_is_told_as_over(started: bool) -> None:
+    """Also where the task that reads its answer has had no turn yet, as right behind a hand-over."""
+    host = await serving(silent)
+    calls = Calls(host.port)
+    calls.send("m1")
+    await host.call(0)
+    if not started:
+        left, fds = calls.hosts.leave(10)
+        given = [socket.socket(fileno=os.dup(fd)) for fd in fds]
+        calls.hosts.close()
+        calls = Calls(host.port)
+        calls.hosts.take(left, iter(given))
+    open_when_told = list[bool]()
+
+    def settled(call: Call, _part: Part, _told: Told) -> None:
+        assert call.connection is not None
+        open_when_told.append(call.connection.sock.fileno() >= 0)
+
+    calls.hosts._settled = settled
+    calls.hosts.cancel("m1", 0)
+    assert open_when_told == [False]
+    assert calls.hosts.calls == set()
+    await asyncio.sleep(0)
+    host.stop()
+
+
+async def test_a_call_that_ends_while_it_waits_for_room_to_write_leaves_no_writer_behind() -> None:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(1)
+        calls = Calls(sock.getsockname()[1])
+        call = calls.send("m1", body=bytes(16 << 20))
+        while call.connection is None or not call.connection._writing:
+            await asyncio.sleep(0.01)
+        descriptor, task = call.connection.sock.fileno(), call.task
+        calls.hosts.cancel("m1", 0)
+        assert calls.told["m1"].verdict is Verdict.CONNECT_FAILED
+        assert not asyncio.get_running_loop().remove_writer(descriptor)
+        assert task is not None
+        with pytest.raises(asyncio.CancelledError):
+            await task
