Let go of the lock last when a process has given everything away

Cause, found by looking for other ways in which a copy of a connection outlives its call: handover.leave closed descriptors from the lowest up, and the lock is opened early. The next process acts from then on, while the old one may be held up before it has closed its copies of calls: one that is ended and sent again is out twice meanwhile. Change: everything but the lock and the word to the next process is closed first.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -76,7 +76,14 @@
         else:
             self.ledger.start()
             self._tell_costs_later()
-        self.offer = Offer(self._path, self._layout, self._still, self._estate, self._go_on)
+        self.offer = Offer(
+            self._path,
+            self._layout,
+            self.lock,
+            still=self._still,
+            estate=self._estate,
+            go_on=self._go_on,
+        )
         if cfg.passed_socket is not None:
             self.offer.start()
 
--- a/mallowlug/handover.py
+++ b/mallowlug/handover.py
@@ -31,6 +31,7 @@
 PIECE, MOST_FDS = 32 * 1024, 200  # bytes in a message; descriptors in one
 MOST_PATH = 107  # bytes of a Unix socket's address
 TAKEN, YOURS = b"taken", b"yours"
+FIRST_DESCRIPTOR = 3  # behind the standard streams
 CREDENTIALS = struct.Struct("3i")
 
 
@@ -59,6 +60,11 @@
     def __init__(self, folder: Path) -> None:
         self._fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
 
+    @property
+    def descriptor(self) -> int:
+        """The open file that holds it."""
+        return self._fd
+
     def taken(self) -> bool:
         """Take it; False while another process holds it."""
         try:
@@ -177,11 +183,13 @@
         self,
         path: Path,
         layout: str,
+        lock: Lock,
+        *,
         still: Callable[[bool], Awaitable[None]],
         estate: Callable[[bool], Estate],
         go_on: Callable[[], Awaitable[None]],
     ) -> None:
-        self._path, self._layout = path, layout
+        self._path, self._layout, self._lock = path, layout, lock
         self._still, self._estate, self._go_on = still, estate, go_on
         self._sock: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
@@ -239,17 +247,29 @@
             await self._go_on()
             return
         LOG.info("handover: %d sockets given in %.0f ms", len(estate.fds), 1e3 * (loop.time() - start_s))
-        leave(sock)
+        leave(sock, self._lock)
+
+
+def close_all_but(kept: list[int]) -> None:
+    """Close every descriptor but the standard streams and these."""
+    first = FIRST_DESCRIPTOR
+    for descriptor in sorted(kept):
+        os.closerange(first, descriptor)
+        first = descriptor + 1
+    os.closerange(first, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
 
+def leave(sock: socket.socket, lock: Lock) -> None:
+    """Let go of every descriptor, then of the lock; end once the other process says so, or SIGTERM.
 
-def leave(sock: socket.socket) -> None:
-    """Let go of every descriptor, the lock with them; end once the other process says so, or SIGTERM."""
+    With the lock the other process acts: a call that it ends must not be kept open by a copy here.
+    """
     signal.set_wakeup_fd(-1)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: os._exit(0))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    os.closerange(3, sock.fileno())
-    os.closerange(sock.fileno() + 1, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    close_all_but([sock.fileno(), lock.descriptor])
+    lock.close()
     sock.settimeout(STAY_S)
     with suppress(OSError):
         sock.recv(1)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -351,3 +351,33 @@
             await asyncio.sleep(0.01)
     await held.cost_is("calls.module", 0)
     assert (await held.costs())["calls.network"] == 0
+
+
+def test_the_lock_is_let_go_of_last(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whoever has the lock acts: calls that it ends would stay open by the copies of the process before."""
+    lock = handover.Lock(tmp_path)
+    assert lock.taken()
+    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    theirs.close()  # the other process has said that it has all
+    closed = set[int]()
+    closed_before_lock = list[set[int]]()
+
+    def closerange(first: int, last: int) -> None:
+        closed.update(range(first, min(last, 4096)))
+
+    def close(descriptor: int) -> None:
+        assert descriptor == lock.descriptor
+        closed_before_lock.append(set(closed))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "closerange", closerange)
+        patch.setattr(os, "close", close)
+        patch.setattr(os, "_exit", lambda code: None)
+        patch.setattr(signal, "signal", lambda *_: None)
+        patch.setattr(signal, "set_wakeup_fd", lambda _: None)
+        handover.leave(ours, lock)
+    kept = {ours.fileno(), lock.descriptor}
+    assert closed_before_lock == [set(range(3, 4096)) - kept]
+    assert not closed & kept
+    lock.close()
+    ours.close()
