Take a message for out from the moment its call's request is fixed, not from the first byte

Cause, found in the paths that end one message of a call for several: Hosts._overdue, _bar and _stop asked whether a byte had gone out. Where the first write finds no room (a full socket buffer, EINTR) the request is composed and none of it is out: a message whose limit ended then was told as never sent, left in the bytes, and written with the others later, beside its repeat. Change: Call.composed decides; from there on the call ends whole. Measured: a test with a full socket fails before (told as connect_failed while its call went on) and passes; tests/test_hosts.py passes.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -93,6 +93,11 @@
         """Whether the last byte is out, after which the host may have begun."""
         return self.connection is not None and self.connection.begun and self.connection.unsent == 0
 
+    @property
+    def composed(self) -> bool:
+        """Whether its request is fixed: what it carries can only be written, or given up, as a whole."""
+        return bool(self.carried)
+
     @property
     def delivered(self) -> bool:
         """Whether its one message is known to be delivered, although no whole answer could be read."""
@@ -434,7 +439,7 @@
         self._after_answer(call, self._overdue, call, part)
 
     def _overdue(self, call: Call, part: Part) -> None:
-        """It ends with the call, or before while nothing of that is written.
+        """It ends with the call, or before while the call's request is not fixed.
 
         While the call is out for the sake of others the message is out too: told as timed out it would be
         sent again beside itself, and ended it would still run. Once its own time is up the call ends.
@@ -442,7 +447,7 @@
         if part.settled:
             return
         part.overdue = True
-        if call.connection is None or not call.connection.begun:
+        if not call.composed:
             self._stop(call, part, Verdict.TIMEOUT)
         elif all(other.overdue for other in call.open):
             self._give_up(call)
@@ -458,13 +463,13 @@
     def _bar(self, call: Call) -> None:
         """Leave out what may no longer begin while the last byte is not out: that never runs.
 
-        It goes alone while nothing is written; bytes of it that are out would let it run with the rest.
+        It goes alone until the request is fixed: written with the rest it would run.
         """
         if call.written:
             return
-        begun, now_s = call.connection is not None and call.connection.begun, self._loop.time()
+        now_s = self._loop.time()
         for part in call.open:
-            if begun or part.begin_by_s <= now_s:
+            if call.composed or part.begin_by_s <= now_s:
                 self._settle(call, part, Told(Verdict.NOT_SENT))
         if call.open:
             self._bar_later(call)
@@ -485,8 +490,7 @@
         if part.settled:
             return
         last = whole or len(call.open) == 1
-        begun = call.connection is not None and call.connection.begun
-        ran = call.written if last else begun  # others' bytes that follow may complete the call
+        ran = call.written if last else call.composed  # it may yet be written for the others' sake
         if last:
             self._end(call)
         if call.delivered:  # its first line came, the rest did not
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -699,3 +699,47 @@
     assert (await after.outcome("m1")).verdict is Verdict.FULL
     assert after.hosts.wait_left_us("h1") > 0
     host.stop()
+
+
+def fill(sock: socket.socket) -> None:
+    """Write until the system takes no more."""
+    try:
+        while True:
+            sock.send(bytes(1 << 16))
+    except BlockingIOError:
+        return
+
+
+async def test_a_limit_that_ends_before_the_first_byte_of_a_shared_call_waits_for_the_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its bytes are in the request that waits for room: told as never sent it would run beside its repeat."""
+    opened = Connection.open
+
+    async def full(address: tuple[str, int]) -> Connection:
+        connection = await opened(address)
+        fill(connection.sock)
+        return connection
+
+    monkeypatch.setattr(Connection, "open", full)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(1)
+        calls = Calls(sock.getsockname()[1])
+        parts = [Part("m1", 0, "", b"x", 50_000, 60_000_000), Part("m2", 0, "", b"x", 20_000_000, 60_000_000)]
+        call = Call("h1", parts, time.monotonic())
+        calls.hosts.send(call)
+        while not parts[0].overdue:
+            await asyncio.sleep(0.01)
+        assert call.connection is not None
+        assert not call.connection.begun
+        assert calls.told == {}
+        calls.hosts.cancel("m2", 0)
+        calls.hosts.cancel("m1", 0)
+        assert [calls.told[ref].verdict for ref in ("m2", "m1")] == [
+            Verdict.CANCELLED,
+            Verdict.CONNECT_FAILED,
+        ]
+        assert call.connection.sock.fileno() < 0
+        calls.hosts.close()
