Tell an answer that frees its messages for a repeat once it is whole or its connection closed

Seen in the code on the search for the same class: Hosts._answered told 500, 503, 429 and the like by the head of the answer and then waited up to the connect time (1.5 s here) for the rest. Where that stops or never ends, the call is out all that time (it ends when its answer is written or its connection ends), while the module sends its messages again. Change: of such an answer the rest is waited for 0.1 s first; what is not whole by then, or cannot be read, is closed, then told. What its head proved counts also where the call is given up meanwhile. Deliveries and messages that are over are told at once as before. Measured: nine tests (three statuses; the rest stops, never ends, cannot be read) fail before, as the connection is open when the end is told, and pass; tests/test_hosts.py and tests/test_relay.py pass.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -20,7 +20,7 @@
 import h11
 
 from mallowlug.host_list import HostList, Listed
-from mallowlug.http import FAULTS, SHORT, Address, Connection, Headers, own_port
+from mallowlug.http import FAULTS, REST_S, SHORT, Address, Connection, Headers, own_port
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
@@ -79,6 +79,7 @@
     bar: asyncio.TimerHandle | None = None  # runs until the first of its messages may no longer begin
     carried: list[Part] = field(default_factory=list)  # what its request carries
     idle_ms: int | None = None  # how long its connection had stood idle; None: it is new
+    proved: Told | None = None  # what the head of its answer tells, while the rest is waited for
 
     @property
     def connection_was(self) -> str:
@@ -496,6 +497,8 @@
         if call.delivered:  # its first line came, the rest did not
             LOG.info("hosts: %s is delivered by its first line alone: %s", part.id, verdict.value)
             self._settle(call, part, Told(Verdict.OK, complete=True))
+        elif call.proved is not None:
+            self._settle(call, part, call.proved)
         else:
             self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
 
@@ -565,23 +568,50 @@
                 self._waits = self.waits
         if len(parts) > 1 and answer.status_code == DELIVERED:
             self._settle_batch(call, parts, await connection.body(MOST_ANSWER), wait_us, report)
-        else:
-            complete = answer.status_code in (DELIVERED, OVER)
-            verdict = verdict_of(answer, call.idle_ms is None)
-            turned_away = verdict is Verdict.CONNECT_FAILED
-            told = Told(verdict, complete, wait_us, report, turned_away)
-            # What is told may send the next message there at once: it should find this connection.
-            try:
-                whole = connection.whole()
-                keep = whole and self._keep(call.host, connection)
-            finally:
-                for part in parts:
-                    self._tell(call, part, told)
-            if whole:
-                return keep
-            await asyncio.wait_for(connection.body(MOST_ANSWER), self._connect_s)
+            return self._keep(call.host, connection)
+        verdict = verdict_of(answer, call.idle_ms is None)
+        complete = answer.status_code in (DELIVERED, OVER)
+        told = Told(verdict, complete, wait_us, report, turned_away=verdict is Verdict.CONNECT_FAILED)
+        if complete:
+            return await self._settle_over(call, connection, told)
+        return await self._settle_unserved(call, connection, told)
+
+    async def _settle_over(self, call: Call, connection: Connection, told: Told) -> bool:
+        """Nothing more is owed, so the head of the answer is enough; the rest is waited for afterwards."""
+        # What is told may send the next message there at once: it should find this connection.
+        try:
+            whole = connection.whole()
+            keep = whole and self._keep(call.host, connection)
+        finally:
+            for part in call.carried:
+                self._tell(call, part, told)
+        if whole:
+            return keep
+        await asyncio.wait_for(connection.body(MOST_ANSWER), self._connect_s)
         return self._keep(call.host, connection)
 
+    async def _settle_unserved(self, call: Call, connection: Connection, told: Told) -> bool:
+        """These may be sent again, so the call has to be over first: its answer is whole, or it is closed."""
+        call.proved = told
+        keep = await self._rest_read(connection) and self._keep(call.host, connection)
+        if not keep:
+            connection.close()
+        for part in call.carried:
+            self._tell(call, part, told)
+        return keep
+
+    @staticmethod
+    async def _rest_read(connection: Connection) -> bool:
+        """Whether the rest of an answer comes shortly and can be read."""
+        try:
+            if not connection.whole():
+                async with asyncio.timeout(REST_S):
+                    await connection.body(MOST_ANSWER)
+        except (*FAULTS, TimeoutError) as error:
+            LOG.info("hosts: the rest of an answer did not come: %r", error)
+            return False
+        return True
+
     def _settle_batch(
         self, call: Call, parts: list[Part], body: bytes, wait_us: int, report: dict[str, float]
     ) -> None:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -743,3 +743,58 @@
         ]
         assert call.connection.sock.fileno() < 0
         calls.hosts.close()
+
+
+@pytest.mark.parametrize("status", [500, 503, 429])
+@pytest.mark.parametrize("rest", ["stops", "never ends", "cannot be read"])
+async def test_an_answer_without_its_end_is_told_once_its_connection_is_closed(
+    status: int, rest: str
+) -> None:
+    """Until an answer is written or its connection ends the call is out, and a repeat would run beside it."""
+    head = f"HTTP/1.1 {status} X\r\nX-Retry-In-Ms: 5\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+
+    def spoilt(request: Request) -> None:
+        request.writer.write(head + (b"x\r\n" if rest == "cannot be read" else b""))
+        if rest == "never ends":
+            dripping.append(asyncio.create_task(drip(request.writer)))
+
+    async def drip(writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            writer.write(b"1\r\nx\r\n")
+            await asyncio.sleep(0.01)
+
+    dripping = list[asyncio.Task[None]]()
+    host = await serving(spoilt)
+    calls = Calls(host.port)
+    open_when_told = dict[str, bool]()
+    tell = calls.hosts._settled
+
+    def settled(call: Call, part: Part, told: Told) -> None:
+        assert call.connection is not None
+        open_when_told[part.id] = call.connection.sock.fileno() >= 0
+        tell(call, part, told)
+
+    calls.hosts._settled = settled
+    calls.send("m1", "m2")
+    expected = Verdict.ERROR if status == 500 else Verdict.FULL
+    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [Told(expected, wait_us=5_000)]
+    assert open_when_told == {"m1": False, "m2": False}
+    while host.writers:
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*dripping)
+    host.stop()
+
+
+async def test_a_limit_that_ends_while_the_rest_of_an_answer_is_waited_for_keeps_what_its_head_proved() -> (
+    None
+):
+    """A refusal never ran; told as timed out, what may not be repeated would be given up."""
+    host = await serving(writes(b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\n"))
+    calls = Calls(host.port)
+    call = calls.send("m1")
+    while call.proved is None:
+        await asyncio.sleep(0.001)
+    calls.hosts.cancel("m1", 0)
+    assert calls.told["m1"] == Told(Verdict.FULL)
+    assert calls.hosts.calls == set()
+    host.stop()
