Let a process that is told to end while it takes over serve what it was given first

Seen in the code on the search for signals that cross a replacement: serve() cancelled its start on SIGTERM as long as that was not done, also between the last word of the process before and the first turn as the relay. Connections that were passed, with requests that nobody had read, were reset by the exit. Change: from the moment at which a process is the relay, by the lock or by the other's last word, its start is finished and then shut down in the usual way. Measured: a test that plays the process before and gives a connection, with SIGTERM before the lock is let go of: the request got an end of the connection before, and '+OK' now. tests/test_handover.py passes, 24 tests.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -50,6 +50,7 @@
         self._costs: asyncio.TimerHandle | None = None  # of the next line on costs
         # Without a passed socket no other process could accept this one's clients.
         self._path = cfg.folder / "handover.sock"
+        self.lock = Lock(cfg.state)
 
     async def start(self) -> None:
         """Become the relay, with what the process before gives or what the journal holds."""
@@ -57,7 +58,6 @@
         if cfg.admin is not None:
             # The relay still answers there for a while where the process before it did.
             await self.admin.start(await freed(cfg.admin, FORMER_S + 1))
-        self.lock = Lock(cfg.state)
         given = await succeed(self.lock, self._path, self._layout)
         self.journal = Journal(cfg.state, cfg.disk_bytes)
         self.driver = Driver(cfg, self.journal, self._crashed)
@@ -194,10 +194,10 @@
     start = loop.create_task(service.start())
     ending = loop.create_task(terminated.wait())
     await asyncio.wait({start, ending}, return_when=asyncio.FIRST_COMPLETED)
-    if not start.done():  # another process is the relay still
+    if not start.done() and not service.lock.claimed:  # another process is the relay still
         start.cancel()
         return 0
-    start.result()
+    await start  # clients that were taken over are served before anything ends
     loop.add_signal_handler(signal.SIGHUP, reload, service.driver)
     if moved.is_set():
         reload(service.driver)
--- a/mallowlug/handover.py
+++ b/mallowlug/handover.py
@@ -59,6 +59,8 @@
 
     def __init__(self, folder: Path) -> None:
         self._fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        # Whether this process is the relay from now on: it holds the lock, or waits for nothing else.
+        self.claimed = False
 
     @property
     def descriptor(self) -> int:
@@ -71,6 +73,7 @@
             fcntl.flock(self._fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False
+        self.claimed = True
         return True
 
     def close(self) -> None:
@@ -169,6 +172,7 @@
     """Become the relay: with what its process gives, or with the journal alone (None) once that is gone."""
     while not lock.taken():
         if (given := await ask(path, layout)) is not None:
+            lock.claimed = True
             while not lock.taken():  # the giver lets go of it right behind its last word
                 await asyncio.sleep(0)
             return given
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -381,3 +381,42 @@
     assert not closed & kept
     lock.close()
     ours.close()
+
+
+async def test_a_process_told_to_end_while_it_takes_over_serves_the_clients_it_was_given(
+    held: World,
+) -> None:
+    """Cut short there, it would close connections over requests that nobody has read."""
+    loop = asyncio.get_running_loop()
+    held.state.mkdir(exist_ok=True)
+    lock = handover.Lock(held.state)
+    assert lock.taken()
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listening:
+        with handover.short(held.folder / "handover.sock") as name:
+            listening.bind(name)
+        listening.listen()
+        listening.setblocking(False)
+        new = await held.spawn()
+        asking, _ = await soon(loop.sock_accept(listening))
+    await soon(loop.sock_recv(asking, 4096))
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        client = socket.create_connection(server.getsockname())
+        served, _ = server.accept()
+    client.setblocking(False)
+    told = {
+        "heard": {"over": [], "waits": {}, "ever": []},
+        "clients": [{"data": "", "by_s": loop.time() + 20, "ending": False}],
+        "admin": 0,
+        "ended": [],
+        "attempts": 0,
+    }
+    await loop.run_in_executor(None, handover.give, asking, handover.Estate(told, b"", [served.fileno()]))
+    served.close()
+    new.terminate()
+    await asyncio.sleep(0.2)  # it has everything but the lock
+    client.send(packed(*enqueue("m1")))
+    lock.close()
+    assert await soon(loop.sock_recv(client, 64)) == b"+OK\r\n"
+    assert await soon(new.wait()) == 0
+    client.close()
+    asking.close()
