Soak: short plays of real relays that are replaced, signalled, killed and crowded, by seed

Checkers: served_to_the_end (requests while a relay ends in order) and calls_let_go (calls out by the network's and by the module's count). Draws of 'terminate' and 'partner-hang' take further random numbers: the adversary's faults of a seed are others than before.

--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -19,6 +19,7 @@
 from rich.table import Table
 
 from fleetlab import runs, scenario, schedule
+from fleetlab import soak as soaking
 from fleetlab.checks import Result
 from fleetlab.fleet import FleetError
 from fleetlab.scale import command as scaling
@@ -169,6 +170,40 @@
     raise typer.Exit(code)
 
 
+@app.command()
+def soak(
+    seeds: Annotated[str, typer.Option(help="The first and the last, as in 1-50.")] = "1-50",
+    *,
+    jobs: Annotated[int, typer.Option(min=1, help="Plays at once.")] = 3,
+    out: Annotated[Path, typer.Option(help="Folder of all plays.")] = Path("found") / "soak",
+) -> None:
+    """Play short runs with faults drawn by seed: replacements, signals, kills; exit 1 where a rule breaks."""
+    played = []
+    with interruptible():
+        for item in soaking.campaign(seed_range(seeds), out, jobs):
+            print(item.line, flush=True)
+            if not item.ok:
+                print(f"    python -m fleetlab soak --seeds {item.seed}-{item.seed} --jobs 1", flush=True)
+            played.append(item)
+    broken = sum(not item.ok for item in played)
+    invalid = sum(not item.valid for item in played)
+    taken = sum(item.counts.get("taken", 0) for item in played)
+    print(f"{len(played)} seeds, {broken} broken, {invalid} invalid, {taken} messages taken")
+    raise typer.Exit(FAILS if broken or invalid else HOLDS)
+
+
+def seed_range(text: str) -> range:
+    """The seeds from the first to the last."""
+    first, _, last = text.partition("-")
+    try:
+        found = range(int(first), int(last or first) + 1)
+    except ValueError:
+        found = range(0)
+    if not found:
+        raise typer.BadParameter(f"not a first and a last seed: {text!r}", param_hint="--seeds")
+    return found
+
+
 @app.command()
 def report(folder: Folder) -> None:
     """Write a run's page: time lines, latencies, who did what."""
--- a/fleetlab/checks/judgement.py
+++ b/fleetlab/checks/judgement.py
@@ -20,7 +20,7 @@
 from fleetlab.checks.finding import Check, Finding
 from fleetlab.checks.leases import one_actor
 from fleetlab.checks.members import no_false_failure, views_agree
-from fleetlab.checks.processes import answered, no_crash, ready_soon
+from fleetlab.checks.processes import answered, calls_let_go, no_crash, ready_soon, served_to_the_end
 from fleetlab.checks.run import Run
 
 INVALID_LAG_S = 0.25  # a lab that came later than this may have made what it reports
@@ -41,6 +41,8 @@
     "waits_kept": waits_kept,
     "cold_spared": cold_spared,
     "answered": answered,
+    "served_to_the_end": served_to_the_end,
+    "calls_let_go": calls_let_go,
     "no_crash": no_crash,
     "ready_soon": ready_soon,
     "untried_kept": untried_kept,
--- a/fleetlab/checks/processes.py
+++ b/fleetlab/checks/processes.py
@@ -7,6 +7,9 @@
 from fleetlab.checks.run import Run
 
 READY_S = 10.0  # for a restarted relay to be ready
+CALLS_NETWORK, CALLS_MODULE = "calls.network", "calls.module"  # figures of a relay's calls out
+ORDERLY = {"terminate", "replace", "reload"}
+CROSSING_S = 0.1  # between a request's last byte and the end of its connection, within which they may cross
 LATE_STARTS = 0.1  # share of restarted relays that may take longer
 
 
@@ -23,6 +26,43 @@
     return found
 
 
+def served_to_the_end(run: Run) -> list[Finding]:
+    """A process that ends or is replaced in order answers each request that it has time to read.
+
+    One that crosses the end of its connection is sent again by its client. Where another fault had the relay
+    or its links just then, nothing is told.
+    """
+    found = []
+    for ref, trace in run.traces.items():
+        heard, relay = trace.heard, trace.handed.relay
+        if heard is None or heard.answer not in ("patience", "closed"):
+            continue
+        met = {
+            span.kind
+            for span in run.spans
+            if span.on == relay and span.since <= heard.t + 0.1 and span.until >= trace.handed.t - 0.5
+        }
+        if not met or not met <= ORDERLY:
+            continue
+        lives = [
+            life for life in run.lives.get(relay, []) if life.ready <= trace.handed.t and life.end >= heard.t
+        ]
+        if lives and heard.t - trace.handed.t > CROSSING_S:
+            found.append(Finding(heard.t, f"{ref}: {relay} did not answer while it ended: {heard.answer}"))
+    return found
+
+
+def calls_let_go(run: Run) -> list[Finding]:
+    """At the end of a run a relay holds no connection for a call that is over."""
+    found = []
+    for relay in run.scenario.relay_names:
+        figures = run.measured.get(relay, {})
+        network, module = figures.get(CALLS_NETWORK, 0.0), figures.get(CALLS_MODULE, 0.0)
+        if network != module:
+            found.append(Finding(run.over, f"{relay} has {network:.0f} calls out and knows of {module:.0f}"))
+    return found
+
+
 def no_crash(run: Run) -> list[Finding]:
     """No process ends by itself."""
     return [
--- a/fleetlab/schedule.py
+++ b/fleetlab/schedule.py
@@ -64,16 +64,32 @@
                 more = {"delay_ms": round(float(rng.uniform(5, 150)), 1), "jitter_ms": 20.0}
             case "partner-slow":
                 more = {"times": round(float(rng.uniform(2, 8)), 1)}
+            case "partner-hang":
+                more = {"share": float(rng.choice([0.0, 0.15, 0.3]))}
             case "partner-fail":
                 more = {"share": round(float(rng.uniform(0.3, 1.0)), 2)}
             case "limit":
                 more = {"descriptors": 40}
+            case "terminate":
+                more = {"signals": drawn_signals(rng), "gap_s": round(float(rng.uniform(0.0, 0.8)), ROUND)}
+            case "replace" | "reload":
+                more = {
+                    "repeats": int(rng.integers(1, 4)),
+                    "gap_s": round(float(rng.uniform(0.05, 0.9)), ROUND),
+                }
+            case "crowd":
+                more = {"connections": int(rng.integers(scenario.sockets // 4, scenario.sockets))}
             case _:
                 pass
         faults.append(Fault(kind=kind, at_s=at_s, for_s=for_s, part=part, **more))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def drawn_signals(rng: np.random.Generator) -> list[str]:
+    """Up to three signals that follow a SIGTERM."""
+    return [str(name) for name in rng.choice(["HUP", "TERM"], int(rng.integers(0, 4)))]
+
+
 def numbered(faults: list[Fault]) -> list[Planned]:
     """Faults with their numbers and each target's own time."""
     return [
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -90,7 +90,7 @@
 
     slow: float = 1.0  # times the usual service time
     fails: float = 0.0  # share of calls that end with 500
-    hangs: bool = False  # calls are taken and never answered
+    hangs: float = 0.0  # share of calls that are taken and never answered
 
 
 class Site:
@@ -352,7 +352,8 @@
             work_s = self._work_s[call]
         else:
             work_s = offered.work_s
-        if self.site.trouble[self.host].hangs:
+        hangs = self.site.trouble[self.host].hangs
+        if hangs >= 1 or (hangs and self._rng.random() < hangs):
             await asyncio.get_running_loop().create_future()
         await asyncio.sleep(work_s)
 
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -233,6 +233,21 @@
     ]
 
 
+def hold_a_call(some: list[records.AnyRecord]) -> None:
+    """A relay counts a call as out that its decisions do not know."""
+    some.append(records.Measured(9.0, "r0", {"calls.network": 2.0, "calls.module": 1.0}))
+
+
+def leave_unanswered_while_it_ends(some: list[records.AnyRecord]) -> None:
+    """A relay that is told to end closes a connection long after a request came on it."""
+    handed = next(item for item in some if isinstance(item, records.Handed))
+    at = next(
+        at for at, item in enumerate(some) if isinstance(item, records.Heard) and item.ref == handed.ref
+    )
+    some[at] = records.Heard(handed.t + 0.2, handed.ref, "closed")
+    some.insert(at, records.Fault(handed.t - 0.1, 99, "terminate", "begin", [handed.relay]))
+
+
 def act_late(some: list[records.AnyRecord]) -> None:
     for t, holder, token in ((1.0, "h0", 1), (2.0, "h1", 2), (2.1, "h0", 1)):
         some.append(records.Acted(t, "unfenced", "sweep", holder, token, True))
@@ -244,6 +259,7 @@
     "ended_once": lose, "in_time": end_late, "no_repeat": repeat, "effect_once": run_twice,
     "one_out": overlap, "none_out_past_end": end_while_out,
     "own_destination": send_astray, "waits_kept": hurry, "cold_spared": push_over,
+    "served_to_the_end": leave_unanswered_while_it_ends, "calls_let_go": hold_a_call,
     "no_crash": crash, "answered": leave_unanswered, "drained": drain_early, "few_attempts": call_often,
 }  # fmt: skip
 
@@ -290,6 +306,81 @@
     assert not findings(Run(some))["ended_once"]
 
 
+def test_a_call_that_arrives_after_its_connection_was_ended_is_out_beside_none(days: Days) -> None:
+    """A cut may hold it back past its repeat; on a connection that is open the same is found."""
+    some = history(days)
+    at = next(at for at, item in enumerate(some) if isinstance(item, records.Reply) and item.t > 1.5)
+    reply = some[at]
+    assert isinstance(reply, records.Reply)
+    calls = [item for item in some[:at] if isinstance(item, records.Call) and item.refs == reply.refs]
+    call = calls[-1]
+    late = msgspec.structs.replace(call, conn=f"{call.relay}:late", t=call.t + 0.0001)
+    open_too = [*some[:at], late, *some[at:]]
+    assert findings(Run(open_too))["one_out"]
+    ended = [*some[:at], records.Gone(call.t - 0.1, late.conn), late, *some[at:]]
+    assert not findings(Run(ended))["one_out"]
+
+
+def test_an_answer_may_go_with_its_endpoint(days: Days) -> None:
+    """Its relay sees a reset in its place; a notice without one is an end too many."""
+    some = history(days)
+    at = next(at for at, item in enumerate(some) if isinstance(item, records.Reply) and item.t > 1.5)
+    reply = some[at]
+    assert isinstance(reply, records.Reply)
+    some.insert(at + 1, records.Noticed(reply.t + 0.02, reply.relay, reply.refs[0], "bounced"))
+    assert findings(Run(some))["ended_once"]
+    some.insert(at + 1, records.Partner(reply.t + 0.01, reply.host, "down"))
+    assert not findings(Run(some))["ended_once"]
+
+
+def test_a_process_that_is_replaced_is_one_life(days: Days) -> None:
+    """Its end, behind the next one's start, is no restart, and excuses nothing."""
+    some = history(days)
+    load = next(at for at, item in enumerate(some) if isinstance(item, records.Phase))
+    some[load + 1 : load + 1] = [
+        records.Process(1.0, "r0", 2, "start"),
+        records.Process(1.3, "r0", 2, "ready"),
+        records.Process(1.4, "r0", 1, "exit"),
+    ]
+    run = Run(some)
+    assert len(run.lives["r0"]) == 1
+    assert run.replaced["r0"] == [1.0]
+    assert run.restart_ready("r0", 1.4) is None
+
+
+def test_an_end_may_be_put_off_by_a_restart_behind_a_restart_and_by_a_cut_within_it(days: Days) -> None:
+    """No notice is overdue until 1.5 s after the relay is ready, or its platform reached, for good."""
+    some = history(days)
+    handed = next(item for item in some if isinstance(item, records.Handed))
+    some[:] = [item for item in some if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])]
+    due = handed.t + handed.left_s
+    name = handed.relay
+    restarts = [
+        records.Process(due - 2.0, name, 1, "exit", -9),
+        records.Process(due - 1.0, name, 2, "start"),
+        records.Process(due - 0.5, name, 2, "ready"),
+        records.Process(due - 0.4, name, 2, "exit", -9),
+        records.Process(due + 2.0, name, 3, "start"),
+        records.Process(due + 2.3, name, 3, "ready"),
+    ]
+    cut = [
+        records.Fault(due + 2.2, 98, "cut", "begin", [name], to=["platform"]),
+        records.Fault(due + 3.5, 98, "cut", "end", [name], to=["platform"]),
+    ]
+    taken = [handed, records.Heard(handed.t + 0.01, handed.ref, "ok")]
+
+    def late(faults: list[records.AnyRecord], after_s: float) -> bool:
+        ended = records.Noticed(due + after_s, name, handed.ref, "bounced")
+        found = findings(Run([*some, *taken, *faults, ended]))["in_time"]
+        return any(handed.ref in finding.text for finding in found)
+
+    assert not late([*restarts], 3.7)
+    assert late([*restarts], 3.9)
+    assert not late([*restarts, *cut], 4.9)
+    assert late([*restarts, *cut], 5.1)
+    assert late([*cut], 3.7)
+
+
 def test_a_late_lab_is_invalid_not_failed(days: Days) -> None:
     """What the lab itself may have caused is not the relay's."""
     some = history(days)
