--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -355,7 +355,7 @@
     some[:] = [item for item in some if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])]
     due = handed.t + handed.left_s
     name = handed.relay
-    restarts = [
+    restarts: list[records.AnyRecord] = [
         records.Process(due - 2.0, name, 1, "exit", -9),
         records.Process(due - 1.0, name, 2, "start"),
         records.Process(due - 0.5, name, 2, "ready"),
@@ -363,11 +363,11 @@
         records.Process(due + 2.0, name, 3, "start"),
         records.Process(due + 2.3, name, 3, "ready"),
     ]
-    cut = [
+    cut: list[records.AnyRecord] = [
         records.Fault(due + 2.2, 98, "cut", "begin", [name], to=["platform"]),
         records.Fault(due + 3.5, 98, "cut", "end", [name], to=["platform"]),
     ]
-    taken = [handed, records.Heard(handed.t + 0.01, handed.ref, "ok")]
+    taken: list[records.AnyRecord] = [handed, records.Heard(handed.t + 0.01, handed.ref, "ok")]
 
     def late(faults: list[records.AnyRecord], after_s: float) -> bool:
         ended = records.Noticed(due + after_s, name, handed.ref, "bounced")
