Reset the connection of a call that is given up, so that nothing of it arrives later

Cause: the relay was cut off from its partners. A connection that is closed in the usual way owes what was written on it: the system goes on to send that behind a cut, though the process has forgotten the call, and told it as over. Change: a call that is given up closes its connection with a reset (SO_LINGER, no time), which drops what the other side has not confirmed. The lab's links drop what a cut holds back with a reset, as a system does, and deliver it behind a clean end as before. Changed test: the one on a window that ends under a partly written call took an end of the connection for the end of its bytes; it takes a reset too, and its bound on bytes stays.

--- a/fleetlab/links.py
+++ b/fleetlab/links.py
@@ -127,8 +127,11 @@
         self._ended(self)
         if clean:
             self.pump()
-        else:
-            self._put(End.RESET)
+            return
+        if self._flow.now.cut:  # its system drops what the other side has not confirmed
+            self._queue.clear()
+            self._queued = 0
+        self._put(End.RESET)
 
     def pause_writing(self) -> None:
         if self.other is not None:
--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -509,7 +509,7 @@
         """
         self.calls.discard(call)
         if call.connection is not None:
-            call.connection.close()
+            call.connection.abort()
         if call.bar is not None:
             call.bar.cancel()
         if call.task is not None:
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -7,7 +7,9 @@
 import math
 import re
 import socket
+import struct
 from collections.abc import Callable
+from contextlib import suppress
 
 import h11
 
@@ -18,6 +20,7 @@
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
 READ = 64 * 1024
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # faults of this machine, not of a peer
+NO_LINGER = struct.pack("ii", 1, 0)  # of SO_LINGER: on, for no time
 REST_S = 0.1  # s for the rest of an answer whose first line has said all that matters
 
 
@@ -269,5 +272,14 @@
         self._stop_writing()
         self.sock.close()
 
+    def abort(self) -> None:
+        """The same with a reset: the system sends no byte any more that the other side has not got yet.
+
+        Behind a cut it would go on to try, and the call would arrive when it is long over here.
+        """
+        with suppress(OSError):  # it is closed
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.close()
+
 
 FAULTS = (OSError, h11.RemoteProtocolError)
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -149,6 +149,27 @@
     await until(lambda: echo.ends)
 
 
+@pytest.mark.parametrize("how", ["clean", "reset"])
+async def test_what_a_cut_holds_back_goes_with_a_reset_and_not_with_a_clean_end(ways: Ways, how: str) -> None:
+    """A system goes on to send what a closed connection still owes, and forgets it with a reset."""
+    echo, link, gone = ways
+    _, writer = await called(link)
+    writer.write(b"before")
+    await until(lambda: bytes(echo.came) == b"before")
+    link.apply(FAULT, CUT, "forward")
+    writer.write(b", held")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    if how == "clean":
+        writer.write_eof()
+    else:
+        reset(writer.transport)
+    await until(lambda: len(gone) == 1)
+    link.lift(FAULT)
+    await until(lambda: echo.ends[:1] == [how])  # others are of connections that came up with the heal
+    assert bytes(echo.came) == (b"before, held" if how == "clean" else b"before")
+
+
 async def test_faults_on_one_link_add_up(ways: Ways) -> None:
     """Two cuts end with the second, two delays come after each other."""
     echo, link, _ = ways
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -10,7 +10,7 @@
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import h11
 import pytest
@@ -213,8 +213,9 @@
         while time.monotonic() < ends_s:
             await asyncio.sleep(0.01)
         came = 0
-        while data := await soon(loop.sock_recv(peer, 1 << 20)):
-            came += len(data)
+        with suppress(ConnectionResetError):  # the way in which a call that is given up ends
+            while data := await soon(loop.sock_recv(peer, 1 << 20)):
+                came += len(data)
         assert came < 64 * 65536
         for name in names:
             assert (await calls.outcome(name)).verdict.never_ran
@@ -798,3 +799,18 @@
     assert calls.told["m1"] == Told(Verdict.FULL)
     assert calls.hosts.calls == set()
     host.stop()
+
+
+async def test_a_call_that_is_given_up_is_reset_so_that_nothing_of_it_arrives_later() -> None:
+    """Behind a cut the system would go on to send a closed connection's bytes, also past a key's window."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        sock.setblocking(False)
+        calls = Calls(sock.getsockname()[1])
+        calls.send("m1", limit_us=100_000)
+        peer, _ = await soon(loop.sock_accept(sock))
+        assert b"m1" in await soon(loop.sock_recv(peer, 4096))
+        assert (await calls.outcome("m1")).verdict is Verdict.TIMEOUT
+        with pytest.raises(ConnectionResetError):
+            await soon(loop.sock_recv(peer, 4096))
+        peer.close()
