End the plays of a soak with the process that started them

Seen: a soak that was ended by a signal left four workers and their relays, which played on. Cause: the pool's processes do not ask the system for their end with their parent's, as a fleet's do. Change: they do, by the same piece (die_with). Measured: the test fails without the change (processes until their plays are over) and passes.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -345,13 +345,18 @@
     return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM")), 0.0)
 
 
+def die_with(parent: int) -> None:
+    """Have the system end this process with its parent, whatever becomes of that."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != parent:  # it ended in between
+        os._exit(1)
+
+
 def bound(limits: Limits, parent: int) -> Callable[[], None]:
     """What a child does before it becomes its program: it dies with the lab, and keeps within its limits."""
 
     def prepare() -> None:
-        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-        if os.getppid() != parent:  # the lab ended in between
-            os._exit(1)
+        die_with(parent)
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(limits.sockets, hard), hard))
         _, most = resource.getrlimit(resource.RLIMIT_FSIZE)
--- a/fleetlab/soak.py
+++ b/fleetlab/soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
@@ -13,7 +14,7 @@
 import numpy as np
 
 from fleetlab import runs, scenario, schedule
-from fleetlab.fleet import FleetError, deploy_run
+from fleetlab.fleet import FleetError, deploy_run, die_with
 from fleetlab.scenario import Adversary, Fault, Scenario
 
 NAME = "soak"
@@ -111,5 +112,7 @@
 def campaign(seeds: Iterable[int], out: Path, jobs: int) -> Iterator[Played]:
     """Play seeds, some at once; each as it comes to its end, in the order of the seeds."""
     deploy_run()  # built once, and not by all at once
-    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+    with ProcessPoolExecutor(
+        jobs, mp_context=get_context("spawn"), initializer=die_with, initargs=(os.getpid(),)
+    ) as pool:
         yield from pool.map(play, seeds, iter(lambda: out, None))
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -12,10 +13,12 @@
 from fleetlab import soak
 from fleetlab.scenario import ON_RELAYS
 from standins.scripted import ROOT
+from tests.lab.test_fleet import processes, until
 
 SEEDS = range(1, 7)  # played in CI
 MANY = range(1, 51)  # played by hand
 JOBS = 3
+PLAY_S = 10.0  # under the length of any play
 LEAST_VALID = 4  # of the plays in CI; in others the lab itself came late, on a machine that is busy
 
 
@@ -47,6 +50,27 @@
     assert all(item.counts["taken"] > 500 for item in played)
 
 
+def test_a_soak_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
+    command = [
+        sys.executable,
+        "-m",
+        "fleetlab",
+        "soak",
+        "--seeds",
+        "1-2",
+        "--jobs",
+        "2",
+        "--out",
+        str(tmp_path),
+    ]
+    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL) as playing:
+        until(lambda: len(processes(tmp_path)) >= 2)
+        playing.kill()
+    killed_s = time.monotonic()
+    until(lambda: not processes(tmp_path))
+    assert time.monotonic() - killed_s < PLAY_S, "they had only come to the end of their plays"
+
+
 @pytest.mark.parametrize("text", ["", "x", "5-4", "1-x"])
 def test_seeds_that_are_none_are_one_line_and_two(text: str) -> None:
     command = [sys.executable, "-m", "fleetlab", "soak", "--seeds", text]
