Split the calls to hosts by job: the call, what answers prove, and idle connections

mallowlug/hosts.py had grown to 694 lines; it keeps the life of calls (485). calls.py holds a call and its request, answers.py what an answer proves, idle_connections.py the connections between calls. Told is PartOutcome, what 'bars' a write or a window is named for what it is. No behaviour is changed; the layout of what passes between processes counts calls.py.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -1,4 +1,4 @@
-"""Calls to hosts: connections and their reuse, batches, time-outs, and what each answer proves.
+"""Calls to hosts: their connections, time-outs and ends, and how they pass to another process.
 
 Every part of a call is settled exactly once. Whether the last byte of a request went to the kernel decides
 between "never ran" and "may have run", so nothing here writes a request twice.
@@ -13,113 +13,32 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Iterator
-from dataclasses import dataclass, field, replace
-from functools import partial
+from dataclasses import dataclass, replace
+from itertools import islice
 from typing import Any
 
-import h11
-
+from mallowlug.answers import (
+    DELIVERED,
+    ENDS,
+    MOST_ANSWER,
+    OVER,
+    broken,
+    ends_of,
+    report_of,
+    verdict_of,
+    wait_of,
+)
+from mallowlug.calls import Call, Part, PartOutcome, request_of
 from mallowlug.host_list import HostList, Listed
-from mallowlug.http import FAULTS, REST_S, SHORT, Address, Connection, Headers, own_port
+from mallowlug.http import FAULTS, REST_S, SHORT, Address, Connection, own_port
+from mallowlug.idle_connections import IdleConnections
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
-ONE, MANY = "/hook", "/hook/batch"
-MOST_ANSWER = 64 * 1024  # bytes of an answer's body
-IDLE_SHARE = 0.9  # of the hosts' keep-alive: an older connection may be ended while a request is under way
-ENDS = {
-    "delivered": Verdict.OK,
-    "failed": Verdict.ERROR,
-    "refused": Verdict.FULL,
-    "over": Verdict.NOT_SENT,
-    "spent": Verdict.NOT_SENT,
-}
-OVER, DELIVERED = 410, 200
-SHORT_US = 250_000  # us that a message is held back for where this process has no descriptor left
 MOST_EVER = 4096  # hosts that are remembered, so that operators may name one that left
 MOST_WAITS = 1024  # routes with a wait, above which those that are over are dropped
 
 
-@dataclass(slots=True, eq=False)
-class Part:
-    """One message's attempt within a call."""
-
-    id: str
-    attempt: int
-    key: str
-    body: bytes
-    limit_us: int
-    left_us: int  # until the message's time is up
-    begin_by_s: float = math.inf  # monotonic time by which its last byte has to be out: its key's window
-    overdue: bool = False  # its limit has passed
-    settled: bool = False
-    timer: asyncio.TimerHandle | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Told:
-    """How a part ended and what the host said beside it."""
-
-    verdict: Verdict
-    complete: bool = False
-    wait_us: int = 0
-    report: dict[str, float] = field(default_factory=dict)
-    turned_away: bool = False  # the host answered that it holds no more connections
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """One call out: a host and the parts that travel together."""
-
-    host: str
-    parts: list[Part]
-    sent_s: float
-    connection: Connection | None = None
-    task: asyncio.Task[None] | None = None
-    bar: asyncio.TimerHandle | None = None  # runs until the first of its messages may no longer begin
-    carried: list[Part] = field(default_factory=list)  # what its request carries
-    idle_ms: int | None = None  # how long its connection had stood idle; None: it is new
-    proved: Told | None = None  # what the head of its answer tells, while the rest is waited for
-
-    @property
-    def connection_was(self) -> str:
-        """What its connection was, in words."""
-        if self.connection is None:
-            return "none"
-        age = "new" if self.idle_ms is None else f"{self.idle_ms} ms idle"
-        return f"from port {self.connection.own_port}, {age}"
-
-    @property
-    def written(self) -> bool:
-        """Whether the last byte is out, after which the host may have begun."""
-        return self.connection is not None and self.connection.begun and self.connection.unsent == 0
-
-    @property
-    def composed(self) -> bool:
-        """Whether its request is fixed: what it carries can only be written, or given up, as a whole."""
-        return bool(self.carried)
-
-    @property
-    def delivered(self) -> bool:
-        """Whether its one message is known to be delivered, although no whole answer could be read."""
-        return len(self.carried) == 1 and self.connection is not None and self.connection.says_delivered
-
-    @property
-    def open(self) -> list[Part]:
-        """The parts that have no outcome yet."""
-        return [part for part in self.parts if not part.settled]
-
-    @property
-    def attempts(self) -> str:
-        """Its messages with the numbers of their attempts, for the log."""
-        return " ".join(f"{part.id} #{part.attempt}" for part in self.parts)
-
-    @property
-    def age_ms(self) -> int:
-        """Milliseconds since it was sent."""
-        return int((time.monotonic() - self.sent_s) * 1000)
-
-
 @dataclass(frozen=True, slots=True)
 class Left:
     """What another process needs to go on with the list, the calls and the connections."""
@@ -129,87 +48,7 @@
     idle: list[tuple[str, float]]  # idle connections: host, and monotonic time since when
 
 
-Settled = Callable[[Call, Part, Told], None]
-
-
-def wait_us_of(parts: list[Part]) -> int:
-    """How long a call with these is waited for: to the longest limit, but past no message's time."""
-    return min(max(part.limit_us for part in parts), *(part.left_us for part in parts))
-
-
-def request_of(connection: Connection, parts: list[Part]) -> bytes:
-    """The request for one message, or for several that share a call."""
-    left = ("X-Remaining", f"{max(1, wait_us_of(parts) // 1000)}m")
-    if len(parts) == 1:
-        headers: Headers = [("X-Txn", parts[0].id), left]
-        if parts[0].key:
-            headers.append(("Idempotency-Key", parts[0].key))
-        return connection.request("POST", ONE, headers, parts[0].body, brief=True)
-    frames = [
-        b"%s %s %d\r\n%s\r\n" % (p.id.encode(), (p.key or "-").encode(), len(p.body), p.body) for p in parts
-    ]
-    return connection.request("POST", MANY, [left], b"".join(frames))
-
-
-def wait_of(answer: h11.Response) -> int:
-    """The wait that an answer tells, in microseconds; 0 for none."""
-    for name, value in answer.headers:
-        if name == b"x-retry-in-ms":
-            try:
-                return max(0, int(float(value) * 1000))
-            except (ValueError, OverflowError):
-                LOG.warning("hosts: unreadable wait %r", value)
-    return 0
-
-
-def report_of(answer: h11.Response) -> dict[str, float]:
-    """The load report that any answer may carry; values that cannot be read are unknown."""
-    report: dict[str, float] = {}
-    for name, value in answer.headers:
-        if name == b"x-pressure":
-            for pair in value.decode("latin-1").split(","):
-                field_name, _, text = pair.strip().partition("=")
-                try:
-                    report[field_name] = float(text)
-                except ValueError:
-                    continue
-    return report
-
-
-def verdict_of(answer: h11.Response, new: bool = False) -> Verdict:
-    """What a status proves; one that the protocol does not know proves nothing.
-
-    A host that holds no more connections answers the first call on a ``new`` one with 503 and ends it: the
-    connection was turned away. Above a limit or with a full queue it keeps the connection.
-    """
-    if answer.status_code == 503 and (b"x-no-slot", b"1") in answer.headers:
-        return Verdict.NOT_SENT
-    if new and answer.status_code == 503 and (b"connection", b"close") in answer.headers:
-        return Verdict.CONNECT_FAILED
-    table = {DELIVERED: Verdict.OK, 429: Verdict.FULL, 503: Verdict.FULL}
-    unsent = dict.fromkeys((400, OVER, 413, 504), Verdict.NOT_SENT)
-    return (table | unsent).get(answer.status_code, Verdict.ERROR)
-
-
-def broken(call: Call, error: Exception) -> Told:
-    """What a call proves that ended without an answer that could be read.
-
-    An answer that makes no sense is the host's failure: the connection brought it, so nothing cut that.
-    """
-    if not call.written:
-        if isinstance(error, OSError) and error.errno in SHORT:  # says nothing of the host
-            return Told(Verdict.NOT_SENT, wait_us=SHORT_US)
-        return Told(Verdict.CONNECT_FAILED)
-    if call.delivered:
-        LOG.info("hosts: %s is delivered by its first line alone: %r", call.parts[0].id, error)
-        return Told(Verdict.OK, complete=True)
-    return Told(Verdict.ERROR if isinstance(error, h11.RemoteProtocolError) else Verdict.RESET)
-
-
-def ends_of(body: bytes) -> dict[str, str]:
-    """The end of each message of a batch."""
-    lines = (line.split() for line in body.decode("latin-1").splitlines())
-    return {words[0]: words[1] for words in lines if len(words) == 2}
+Settled = Callable[[Call, Part, PartOutcome], None]
 
 
 class Hosts:
@@ -221,16 +60,15 @@
         # Kept, as whoever asks for the running loop asks the system for the process each time.
         self._loop = asyncio.get_running_loop()
         self._kinds = {kind.name: kind for kind in kinds}
-        self._idle_s, self._connect_s = keepalive_us / 1e6 * IDLE_SHARE, connect_us / 1e6
-        self._most_idle, self._settled = most_idle, settled
+        self._connect_s, self._settled = connect_us / 1e6, settled
+        self.counts: Counter[str] = Counter()  # what became of connections, for the people on call
+        self._idle = IdleConnections(keepalive_us, most_idle, self.counts)
         self.listed: dict[str, Listed] = {}
-        self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self.ever: dict[str, None] = {}  # the hosts that lists have named, the latest of them last
         self._banned: set[str] = set()  # by operators
         self.written = 0  # messages whose calls were written whole
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
         self.calls: set[Call] = set()
-        self.counts: Counter[str] = Counter()  # what became of connections, for the people on call
 
     def apply(self, news: HostList) -> None:
         """Follow the list at once: what drains or goes gets no call that is still to be written."""
@@ -310,13 +148,13 @@
     @property
     def idle(self) -> int:
         """Connections that are kept for the next call."""
-        return sum(map(len, self._idle.values()))
+        return len(self._idle)
 
-    def barred(self, host: str) -> Told | None:
+    def unwritable(self, host: str) -> PartOutcome | None:
         """Why nothing may be written there now: decided before, a call must still obey newer news."""
         wait_us = self.wait_left_us(host)
         if wait_us or not self._open_to(host):
-            return Told(Verdict.NOT_SENT, wait_us=wait_us)
+            return PartOutcome(Verdict.NOT_SENT, wait_us=wait_us)
         return None
 
     def send(self, call: Call) -> None:
@@ -327,7 +165,7 @@
         loop = self._loop
         self.calls.add(call)
         if not call.written:
-            self._bar_later(call)
+            self._schedule_window_end(call)
         for part in call.open:
             if part.overdue:
                 until_s = since_s + max(part.limit_us, part.left_us) / 1e6
@@ -358,8 +196,7 @@
                 call.host, call.attempts, call.age_ms, call.connection_was,
                 "not written whole" if came is None else f"{len(came)} bytes of its answer read",
             )  # fmt: skip
-        idle = [(host, connection) for host, items in self._idle.items() for connection, _ in items]
-        idle = idle[: max(0, room - len(fds))]
+        idle = list(islice(self._idle, max(0, room - len(fds))))
         fds += [connection.sock.fileno() for _, connection in idle]
         return Left(self.listed, calls, [(host, connection.kept_s) for host, connection in idle]), fds
 
@@ -369,7 +206,7 @@
         for call, came in left.calls:
             if came is None:
                 for part in call.open:
-                    self._settle(call, part, Told(Verdict.NOT_SENT))
+                    self._settle(call, part, PartOutcome(Verdict.NOT_SENT))
                 continue
             call.connection = Connection(next(socks), self._dial(call.host))
             call.connection.own_port = own_port(call.connection.sock)
@@ -382,7 +219,7 @@
             self._start(call, self._answered, call.sent_s)
         for host, kept_s in left.idle:
             connection = Connection(next(socks), self._dial(host))
-            self._put(host, connection, kept_s)
+            self._idle.put(host, connection, kept_s)
 
     def _dial(self, host: str) -> Address:
         """Where a host is reached; of one that left the list only connections are left, which need none."""
@@ -404,9 +241,7 @@
 
     def close_idle(self, host: str) -> None:
         """Close the connections to a host that carry no call."""
-        for connection, timer in self._idle.pop(host, []):
-            self.counts["closed as told"] += 1
-            self._drop(connection, timer)
+        self._idle.close(host)
 
     def close(self) -> None:
         """Give up everything, silently: what is out stays in the journal as it stands."""
@@ -414,10 +249,9 @@
             for part in call.open:
                 self._settle(call, part, None)
             self._end(call)
-        for host in list(self._idle):
-            self.close_idle(host)
+        self._idle.close_all()
 
-    def _settle(self, call: Call, part: Part, told: Told | None) -> None:
+    def _settle(self, call: Call, part: Part, told: PartOutcome | None) -> None:
         part.settled = True
         if part.timer is not None:
             part.timer.cancel()
@@ -456,12 +290,12 @@
             more_s = max(0, part.left_us - part.limit_us) / 1e6
             part.timer = self._loop.call_later(more_s, self._out_of_time, call)
 
-    def _bar_later(self, call: Call) -> None:
+    def _schedule_window_end(self, call: Call) -> None:
         """Look again when the first of its messages may no longer begin."""
         by_s = min((part.begin_by_s for part in call.open), default=math.inf)
-        call.bar = self._loop.call_at(by_s, self._bar, call) if by_s < math.inf else None
+        call.window_timer = self._loop.call_at(by_s, self._end_window, call) if by_s < math.inf else None
 
-    def _bar(self, call: Call) -> None:
+    def _end_window(self, call: Call) -> None:
         """Leave out what may no longer begin while the last byte is not out: that never runs.
 
         It goes alone until the request is fixed: written with the rest it would run.
@@ -471,9 +305,9 @@
         now_s = self._loop.time()
         for part in call.open:
             if call.composed or part.begin_by_s <= now_s:
-                self._settle(call, part, Told(Verdict.NOT_SENT))
+                self._settle(call, part, PartOutcome(Verdict.NOT_SENT))
         if call.open:
-            self._bar_later(call)
+            self._schedule_window_end(call)
         else:
             self._end(call)
 
@@ -496,11 +330,11 @@
             self._end(call)
         if call.delivered:  # its first line came, the rest did not
             LOG.info("hosts: %s is delivered by its first line alone: %s", part.id, verdict.value)
-            self._settle(call, part, Told(Verdict.OK, complete=True))
+            self._settle(call, part, PartOutcome(Verdict.OK, complete=True))
         elif call.proved is not None:
             self._settle(call, part, call.proved)
         else:
-            self._settle(call, part, Told(verdict if ran else Verdict.CONNECT_FAILED))
+            self._settle(call, part, PartOutcome(verdict if ran else Verdict.CONNECT_FAILED))
 
     def _end(self, call: Call) -> None:
         """Close a call's connection before anybody is told of its end, who may send its messages again.
@@ -510,14 +344,14 @@
         self.calls.discard(call)
         if call.connection is not None:
             call.connection.abort()
-        if call.bar is not None:
-            call.bar.cancel()
+        if call.window_timer is not None:
+            call.window_timer.cancel()
         if call.task is not None:
             call.task.cancel()
 
     async def _run(self, call: Call, exchange: Callable[[Call], Awaitable[bool]]) -> None:
         """Connect, write, read: every way out settles what is open and leaves no connection behind."""
-        told, keep = Told(Verdict.RESET), False
+        told, keep = PartOutcome(Verdict.RESET), False
         try:
             keep = await exchange(call)
         except (*FAULTS, TimeoutError) as error:
@@ -529,23 +363,23 @@
         finally:
             if call.connection is not None and not keep:
                 call.connection.close()
-            if call.bar is not None:
-                call.bar.cancel()
+            if call.window_timer is not None:
+                call.window_timer.cancel()
             self.calls.discard(call)
             for part in call.open:
                 self._settle(call, part, told)
 
     async def _exchange(self, call: Call) -> bool:
         """The whole call; whether its connection can serve again."""
-        connection = self._take(call.host) or await self._open(call.host)
+        connection = self._idle.take(call.host) or await self._open(call.host)
         call.connection = connection
         if connection.kept_s:
             call.idle_ms = int((time.monotonic() - connection.kept_s) * 1000)
         # Connecting takes time, in which a wait or a drain may have been told: it binds this write too.
-        barred, now_s = self.barred(call.host), self._loop.time()
+        barred, now_s = self.unwritable(call.host), self._loop.time()
         for part in call.open:
             if barred is not None or part.begin_by_s <= now_s:
-                self._settle(call, part, barred or Told(Verdict.NOT_SENT))
+                self._settle(call, part, barred or PartOutcome(Verdict.NOT_SENT))
         parts = call.open
         if not parts:
             return self._keep(call.host, connection)
@@ -571,12 +405,12 @@
             return self._keep(call.host, connection)
         verdict = verdict_of(answer, call.idle_ms is None)
         complete = answer.status_code in (DELIVERED, OVER)
-        told = Told(verdict, complete, wait_us, report, turned_away=verdict is Verdict.CONNECT_FAILED)
+        told = PartOutcome(verdict, complete, wait_us, report, turned_away=verdict is Verdict.CONNECT_FAILED)
         if complete:
             return await self._settle_over(call, connection, told)
         return await self._settle_unserved(call, connection, told)
 
-    async def _settle_over(self, call: Call, connection: Connection, told: Told) -> bool:
+    async def _settle_over(self, call: Call, connection: Connection, told: PartOutcome) -> bool:
         """Nothing more is owed, so the head of the answer is enough; the rest is waited for afterwards."""
         # What is told may send the next message there at once: it should find this connection.
         try:
@@ -590,7 +424,7 @@
         await asyncio.wait_for(connection.body(MOST_ANSWER), self._connect_s)
         return self._keep(call.host, connection)
 
-    async def _settle_unserved(self, call: Call, connection: Connection, told: Told) -> bool:
+    async def _settle_unserved(self, call: Call, connection: Connection, told: PartOutcome) -> bool:
         """These may be sent again, so the call has to be over first: its answer is whole, or it is closed."""
         call.proved = told
         keep = await self._rest_read(connection) and self._keep(call.host, connection)
@@ -619,10 +453,10 @@
         ends = ends_of(body)
         for part in parts:
             word = ends.get(part.id, "")
-            told = Told(ENDS.get(word, Verdict.ERROR), word in ("delivered", "over"), wait_us, report)
+            told = PartOutcome(ENDS.get(word, Verdict.ERROR), word in ("delivered", "over"), wait_us, report)
             self._tell(call, part, told)
 
-    def _tell(self, call: Call, part: Part, told: Told) -> None:
+    def _tell(self, call: Call, part: Part, told: PartOutcome) -> None:
         """Settle a part; where its own time ran out within the call, only a final end is still news."""
         if not part.settled or told.complete:
             self._settle(call, part, told)
@@ -635,60 +469,17 @@
         try:
             return await asyncio.wait_for(Connection.open(listed.dial), self._connect_s)
         except OSError as error:
-            if error.errno not in SHORT or not self._give_way():
+            if error.errno not in SHORT or not self._idle.close_oldest():
                 raise
         return await asyncio.wait_for(Connection.open(listed.dial), self._connect_s)
 
-    def _give_way(self) -> bool:
-        """Close the connection that stood idle longest, for its descriptor; False where none is idle."""
-        idle = [(items[0][0].kept_s, host) for host, items in self._idle.items() if items]
-        if not idle:
-            return False
-        host = min(idle)[1]
-        self.counts["gave way"] += 1
-        self._drop(*self._idle[host].pop(0))
-        return True
-
-    def _take(self, host: str) -> Connection | None:
-        """The idle connection that was used last, if the host has not ended it."""
-        idle = self._idle.get(host, [])
-        while idle:
-            connection, timer = idle.pop()
-            connection.unasked = None
-            timer.cancel()
-            if connection.quiet():
-                self.counts["reused"] += 1
-                return connection
-            self.counts["ended when taken"] += 1
-            connection.close()
-        return None
-
     def _keep(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
         if not self._open_to(host) or not connection.reusable():
             self.counts["not reusable"] += 1
             return False
-        if self.idle >= self._most_idle:
+        if self._idle.full:
             self.counts["over the bound"] += 1
             return False
-        self._put(host, connection, time.monotonic())
+        self._idle.put(host, connection, time.monotonic())
         return True
-
-    def _put(self, host: str, connection: Connection, kept_s: float) -> None:
-        connection.kept_s = kept_s
-        timer = self._loop.call_at(kept_s + self._idle_s, self._expire, host, connection)
-        connection.unasked = partial(self._expire, host, connection)
-        connection.watch()
-        self._idle.setdefault(host, []).append((connection, timer))
-
-    def _expire(self, host: str, connection: Connection) -> None:
-        """An idle connection has stood too long, or the host has ended it."""
-        for item in [item for item in self._idle.get(host, []) if item[0] is connection]:
-            self._idle[host].remove(item)
-            self.counts["expired" if connection.quiet() else "ended by host"] += 1
-            self._drop(*item)
-
-    @staticmethod
-    def _drop(connection: Connection, timer: asyncio.TimerHandle) -> None:
-        timer.cancel()
-        connection.close()
--- a/mallowlug/relay.py
+++ b/mallowlug/relay.py
@@ -19,11 +19,12 @@
 from itertools import islice
 from typing import Any
 
-from mallowlug import host_list, hosts
+from mallowlug import calls, host_list, hosts
+from mallowlug.calls import Call, Part, PartOutcome
 from mallowlug.config import Config
 from mallowlug.discovery import PIECE, Notice, Notices, Watch, most_line_bytes
 from mallowlug.host_list import HostList, changes_of, pieces
-from mallowlug.hosts import Call, Hosts, Left, Part, Told
+from mallowlug.hosts import Hosts, Left
 from mallowlug.http import Address
 from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
 from mallowlug.reasons import Refusal
@@ -104,7 +105,8 @@
     It is the text of every record in it, and of what the module keeps. Decisions may differ.
     """
     texts = [
-        inspect.getsource(part) for part in (state, lanes, api, host_list, hosts, Module.__init__, Memory)
+        inspect.getsource(part)
+        for part in (state, lanes, api, host_list, calls, hosts, Module.__init__, Memory)
     ]
     text = "\0".join([*texts, repr(settings), sys.version]).encode()
     # Against mistakes, not against malice: both are this user's. ``hashlib`` would load all of OpenSSL.
@@ -236,7 +238,7 @@
             for send in put_off:
                 if send.id in self._held:
                     call = Call(send.host, [self._part(send, self.clock())], time.monotonic())
-                    self._settled(call, call.parts[0], Told(api.Verdict.NOT_SENT))
+                    self._settled(call, call.parts[0], PartOutcome(api.Verdict.NOT_SENT))
 
     def follow(self, discovery: Address) -> None:
         """Watch the list at this address from now on, and post notices there."""
@@ -406,7 +408,7 @@
     def _confirmed(self, ref: str) -> None:
         self._journal.over(ref)
 
-    def _settled(self, call: Call, part: Part, told: Told) -> None:
+    def _settled(self, call: Call, part: Part, told: PartOutcome) -> None:
         """An attempt is over: journal what it proves, then tell the module."""
         complete = told.complete
         if complete:
@@ -548,7 +550,7 @@
             except JournalFullError as error:
                 LOG.error("a call was not made: %s", error)
                 for part in parts:
-                    self._settled(call, part, Told(api.Verdict.NOT_SENT))
+                    self._settled(call, part, PartOutcome(api.Verdict.NOT_SENT))
                 continue
             self._hosts.send(call)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import pytest_asyncio
 
 from mallowlug import config
-from mallowlug.hosts import Told
+from mallowlug.calls import PartOutcome
 from mallowlug.journal import Journal
 from mallowlug.relay import Driver, Handed
 from mossfront.interface import Verdict
@@ -84,8 +84,8 @@
         calls.hosts.cancel("m2", 0)
     else:
         hold_until(begun_s + 0.51)
-    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
-    assert await calls.outcome("m2") == Told(Verdict.FULL)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.OK, complete=True)
+    assert await calls.outcome("m2") == PartOutcome(Verdict.FULL)
     host.stop()
 
 
@@ -99,7 +99,7 @@
     told = await calls.outcome("m1")
     assert told.verdict is Verdict.FULL
     assert told.wait_us == 60_000_000
-    assert calls.hosts.barred("h1") is not None
+    assert calls.hosts.unwritable("h1") is not None
     host.stop()
 
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -15,8 +15,10 @@
 import h11
 import pytest
 
+from mallowlug.answers import report_of, verdict_of, wait_of
+from mallowlug.calls import Call, Part, PartOutcome
 from mallowlug.host_list import HostList, Listed
-from mallowlug.hosts import Call, Hosts, Left, Part, Told, report_of, verdict_of, wait_of
+from mallowlug.hosts import Hosts, Left
 from mallowlug.http import Connection
 from mossfront.interface import Entry, Kind, Listing, Verdict
 from standins.scripted import HttpServer, Request, delivered, silent, soon
@@ -29,7 +31,7 @@
     """Hosts with one host on the list, and the outcomes that came of it."""
 
     def __init__(self, port: int, connect_us: int = 10_000_000) -> None:
-        self.told: dict[str, Told] = {}
+        self.told: dict[str, PartOutcome] = {}
         self.ended = asyncio.Event()
         self.hosts = Hosts([KIND], 15_000_000, connect_us, 10, self._settled)
         self.list(port)
@@ -39,7 +41,7 @@
         entry = Entry("h1", 1, "a", "banks", listing)
         self.hosts.apply(HostList(1, False, (Listed(entry, ("127.0.0.1", port)),)))
 
-    def _settled(self, _call: Call, part: Part, told: Told) -> None:
+    def _settled(self, _call: Call, part: Part, told: PartOutcome) -> None:
         self.told[part.id] = told
         self.ended.set()
 
@@ -58,7 +60,7 @@
         self.hosts.send(call)
         return call
 
-    async def outcome(self, ref: str) -> Told:
+    async def outcome(self, ref: str) -> PartOutcome:
         """How a message's attempt ended."""
         while ref not in self.told:
             self.ended.clear()
@@ -79,7 +81,7 @@
     calls = Calls(host.port)
     calls.send("m1")
     calls.list(host.port, Listing.DRAINING)
-    assert await calls.outcome("m1") == Told(Verdict.NOT_SENT)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.NOT_SENT)
     assert host.seen == []
     host.stop()
 
@@ -166,7 +168,7 @@
     calls = Calls(host.port)
     async with held_up(monkeypatch) as gate:
         call = calls.send("m1", "m2", begin_by_s={"m1": time.monotonic() + 0.05})
-        assert await calls.outcome("m1") == Told(Verdict.NOT_SENT)
+        assert await calls.outcome("m1") == PartOutcome(Verdict.NOT_SENT)
         assert call.connection is None
         gate.set()
         assert (await calls.outcome("m2")).verdict is Verdict.OK
@@ -178,14 +180,14 @@
     """The loop may be late: the connection is up and the timer that tells of the end has not run."""
     host = await serving()
     calls = Calls(host.port)
-    monkeypatch.setattr(Hosts, "_bar_later", lambda _hosts, _call: None)
+    monkeypatch.setattr(Hosts, "_schedule_window_end", lambda _hosts, _call: None)
     async with held_up(monkeypatch) as gate:
         ends_s = time.monotonic() + 0.05
         calls.send("m1", begin_by_s={"m1": ends_s})
         while time.monotonic() < ends_s:
             await asyncio.sleep(0.01)
         gate.set()
-        assert await calls.outcome("m1") == Told(Verdict.NOT_SENT)
+        assert await calls.outcome("m1") == PartOutcome(Verdict.NOT_SENT)
     assert calls.hosts.idle == 1, "the connection serves the next call"
     assert host.seen == []
     host.stop()
@@ -197,7 +199,7 @@
 ) -> None:
     """All that the call carries then never ran; with the last byte it would run, late."""
     if not timed:  # the peer reads on at the very moment at which the window is over
-        monkeypatch.setattr(Hosts, "_bar_later", lambda _hosts, _call: None)
+        monkeypatch.setattr(Hosts, "_schedule_window_end", lambda _hosts, _call: None)
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.bind(("127.0.0.1", 0))
@@ -248,7 +250,7 @@
     host = await serving(writes(OK_LINE + head))
     calls = Calls(host.port)
     calls.send("m1")
-    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.OK, complete=True)
     host.stop()
 
 
@@ -282,7 +284,7 @@
     host = await serving(lambda request: request.writer.write(OK_LINE + b"Content-"))
     calls = Calls(host.port)
     calls.send("m1", limit_us=600_000_000)
-    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.OK, complete=True)
     while host.writers:  # the host sees the call's end as well
         await asyncio.sleep(0.01)
     host.stop()
@@ -292,7 +294,7 @@
     host = await serving(writes(OK_LINE + b"X-Slow: "))
     calls = Calls(host.port)
     calls.send("m1", limit_us=300_000)
-    assert await calls.outcome("m1") == Told(Verdict.OK, complete=True)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.OK, complete=True)
     host.stop()
 
 
@@ -301,7 +303,7 @@
     host = await serving(writes(OK_LINE + head))
     calls = Calls(host.port)
     calls.send("m1", "m2")
-    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [Told(Verdict.ERROR)]
+    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [PartOutcome(Verdict.ERROR)]
     host.stop()
 
 
@@ -314,7 +316,7 @@
     host = await serving(writes(answer))
     calls = Calls(host.port)
     calls.send("m1")
-    assert await calls.outcome("m1") == Told(Verdict.ERROR)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.ERROR)
     host.stop()
 
 
@@ -322,7 +324,7 @@
     host = await serving(lambda request: request.writer.close())
     calls = Calls(host.port)
     calls.send("m1")
-    assert await calls.outcome("m1") == Told(Verdict.RESET)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.RESET)
     host.stop()
 
 
@@ -345,10 +347,10 @@
     call = calls.send("m1", "m2")
     request = await host.call(0)
     calls.hosts._stop(call, call.parts[0], Verdict.TIMEOUT)
-    assert calls.told["m1"] == Told(Verdict.TIMEOUT)
+    assert calls.told["m1"] == PartOutcome(Verdict.TIMEOUT)
     delivered(request)
     assert (await calls.outcome("m2")).verdict is Verdict.OK
-    assert calls.told["m1"] == Told(Verdict.OK, complete=True)
+    assert calls.told["m1"] == PartOutcome(Verdict.OK, complete=True)
     host.stop()
 
 
@@ -365,7 +367,7 @@
         await asyncio.sleep(0.01)
     assert calls.told == {}
     calls.hosts._late(call, parts[1])
-    assert calls.told == {ref: Told(Verdict.TIMEOUT) for ref in ("m1", "m2")}
+    assert calls.told == {ref: PartOutcome(Verdict.TIMEOUT) for ref in ("m1", "m2")}
     while host.writers:
         await asyncio.sleep(0.01)
     host.stop()
@@ -379,8 +381,8 @@
     calls.hosts.send(Call("h1", parts, time.monotonic()))
     request = await host.call(0)
     assert request.headers["x-remaining"] == "300m", "the call is waited for no longer than that"
-    assert await calls.outcome("m1") == Told(Verdict.TIMEOUT)
-    assert calls.told == {ref: Told(Verdict.TIMEOUT) for ref in ("m1", "m2")}
+    assert await calls.outcome("m1") == PartOutcome(Verdict.TIMEOUT)
+    assert calls.told == {ref: PartOutcome(Verdict.TIMEOUT) for ref in ("m1", "m2")}
     while host.writers:
         await asyncio.sleep(0.01)
     assert not calls.hosts.calls
@@ -397,7 +399,7 @@
         parts += [Part("m2", 0, "", b"x", 20_000_000, 60_000_000)]
         calls.hosts.send(Call("h1", parts, time.monotonic()))
         for ref in ("m1", "m2"):
-            assert await calls.outcome(ref) == Told(Verdict.CONNECT_FAILED)
+            assert await calls.outcome(ref) == PartOutcome(Verdict.CONNECT_FAILED)
 
 
 async def test_idle_connections_are_closed_on_demand_and_by_age() -> None:
@@ -408,7 +410,7 @@
     while host.writers:
         calls.hosts.close_idle("h1")
         await asyncio.sleep(0.01)
-    calls.hosts._idle_s = 0.05
+    calls.hosts._idle._idle_s = 0.05
     calls.send("m2")
     await calls.outcome("m2")
     while host.writers:
@@ -478,16 +480,16 @@
     host = await serving(turned_away)
     calls = Calls(host.port)
     calls.send("m1")
-    assert await calls.outcome("m1") == Told(Verdict.CONNECT_FAILED, turned_away=True)
+    assert await calls.outcome("m1") == PartOutcome(Verdict.CONNECT_FAILED, turned_away=True)
     host.default = delivered
     calls.send("m2")
     await calls.outcome("m2")
     host.default = turned_away
     calls.send("m3")  # on the connection that served m2: that one is no news to the host
-    assert await calls.outcome("m3") == Told(Verdict.FULL)
+    assert await calls.outcome("m3") == PartOutcome(Verdict.FULL)
     host.default = lambda request: request.answer(503)
     calls.send("m4")
-    assert await calls.outcome("m4") == Told(Verdict.FULL)
+    assert await calls.outcome("m4") == PartOutcome(Verdict.FULL)
     host.stop()
 
 
@@ -497,8 +499,8 @@
     calls = Calls(host.port)
     idle: list[int] = []
 
-    def told(_call: Call, _part: Part, _told: Told) -> None:
-        idle.append(len(calls.hosts._idle.get("h1", [])))
+    def told(_call: Call, _part: Part, _told: PartOutcome) -> None:
+        idle.append(calls.hosts.idle)
         calls.ended.set()
 
     calls.hosts._settled = told
@@ -554,7 +556,7 @@
     host.stop()
     while not calls.hosts.counts["ended by host"]:
         await asyncio.sleep(0)
-    assert not any(calls.hosts._idle.values())
+    assert not calls.hosts.idle
 
 
 async def test_an_early_answer_to_a_request_that_is_still_written_does_not_spin(
@@ -655,7 +657,7 @@
         calls.hosts.take(left, iter(given))
     open_when_told = list[bool]()
 
-    def settled(call: Call, _part: Part, _told: Told) -> None:
+    def settled(call: Call, _part: Part, _told: PartOutcome) -> None:
         assert call.connection is not None
         open_when_told.append(call.connection.sock.fileno() >= 0)
 
@@ -770,7 +772,7 @@
     open_when_told = dict[str, bool]()
     tell = calls.hosts._settled
 
-    def settled(call: Call, part: Part, told: Told) -> None:
+    def settled(call: Call, part: Part, told: PartOutcome) -> None:
         assert call.connection is not None
         open_when_told[part.id] = call.connection.sock.fileno() >= 0
         tell(call, part, told)
@@ -778,7 +780,7 @@
     calls.hosts._settled = settled
     calls.send("m1", "m2")
     expected = Verdict.ERROR if status == 500 else Verdict.FULL
-    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [Told(expected, wait_us=5_000)]
+    assert [await calls.outcome(ref) for ref in ("m1", "m2")] == 2 * [PartOutcome(expected, wait_us=5_000)]
     assert open_when_told == {"m1": False, "m2": False}
     while host.writers:
         await asyncio.sleep(0.01)
@@ -796,7 +798,7 @@
     while call.proved is None:
         await asyncio.sleep(0.001)
     calls.hosts.cancel("m1", 0)
-    assert calls.told["m1"] == Told(Verdict.FULL)
+    assert calls.told["m1"] == PartOutcome(Verdict.FULL)
     assert calls.hosts.calls == set()
     host.stop()
 
--- a/tests/test_listen.py
+++ b/tests/test_listen.py
@@ -108,7 +108,7 @@
         return await opened(address)
 
     monkeypatch.setattr(Connection, "open", short)
-    monkeypatch.setattr(calls.hosts, "_take", lambda _host: None)  # another host's is the idle one
+    monkeypatch.setattr(calls.hosts._idle, "take", lambda _host: None)  # another host's is the idle one
     calls.send("m2")
     assert (await calls.outcome("m2")).verdict is Verdict.OK
     assert calls.hosts.counts["gave way"] == 1
