Tell a relay of a configuration that changed while it started, once it is ready

Discovery moved 15 ms before r0 was ready again; the lab wrote the new file and signalled nobody, so r0 watched and posted where nobody was until the next reload. Cause: Fleet.reload signals a process that is ready, and forgot one that was not yet. Change: it is signalled as soon as it is ready.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -84,6 +84,7 @@
     cpu_s: float = 0.0  # of its lives that are over
     peak_mb: float = 0.0
     ready: bool = False
+    reload_due: bool = False  # its configuration changed while it was not ready
     watcher: asyncio.Task[None] | None = None
     replacement: asyncio.subprocess.Process | None = None  # started beside the process that serves still
     changing: asyncio.Lock = field(
@@ -136,7 +137,7 @@
 
     async def start(self, member: Member) -> None:
         """One more life of a process."""
-        member.asked = member.ready = False
+        member.asked = member.ready = member.reload_due = False
         shutil.rmtree(member.scratch, ignore_errors=True)
         member.scratch.mkdir()
         member.process = await self._launch(member)
@@ -219,6 +220,7 @@
         """
         async with member.changing:
             self._configure(member)
+            member.reload_due = not member.ready
             if member.ready:
                 self.signal(member, signal.SIGHUP)
 
@@ -238,6 +240,9 @@
             if await answers(member):
                 member.ready = True
                 self.sink(Process(self.now(), member.name, life, "ready"))
+                if member.reload_due:
+                    member.reload_due = False
+                    self.signal(member, signal.SIGHUP)
                 self.up(member.name)
                 return
             await asyncio.sleep(LOOK_S)
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -253,3 +253,30 @@
         run = Run(records.read(tmp_path / name / "history.jsonl"))
         hung = [call for call in run.attempts if call.over - call.came > 1.0]
         assert hung, "the endpoints did hang"
+
+
+async def test_a_configuration_that_changes_while_a_process_starts_is_told_once_it_is_ready(
+    tmp_path: Path,
+) -> None:
+    """A relay that read the old file would watch and post at an address where nobody is any more."""
+    program = "import signal, time; signal.signal(signal.SIGHUP, lambda *_: print('told')); time.sleep(60)"
+    command = f'exec {sys.executable} -c "{program}"'
+    fleet = Fleet(tmp_path, time.monotonic, lambda _: None, lambda _: None, lambda _: None)
+    member = fleet.add("p0", command, {}, {}, Limits())
+    await fleet.start(member)
+    await fleet.reload(member)
+    await asyncio.sleep(0.5)  # it has its handler by now
+    assert member.log.read_bytes() == b""
+
+    async def answers(_member: Any) -> bool:
+        return True
+
+    await fleet.until_ready(member, answers)
+    await soon(waits(lambda: member.log.read_bytes() == b"told\n"))
+    await fleet.stop()
+
+
+async def waits(done: Callable[[], Any]) -> None:
+    """Wait for something within the running loop."""
+    while not done():
+        await asyncio.sleep(0.02)
