Start the processes of a fleet at the priority that they are given

Cause: the lab started relays with nice 5 for the sake of its own clock; priorities are to be left as they are.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -27,7 +27,6 @@
 READY_S = 30.0  # s for a process to answer
 LOOK_S = 0.03
 MOST_LOG = 8 * 1024 * 1024  # bytes of one process's log; a process that writes more is cut off there
-NICE = 5
 START_PAUSE_S = 0.01  # s between two starts, in which the lab does what else is due
 TICK_S = 0.05  # period of stop-and-go
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -189,8 +188,7 @@
         async with self._starting:
             with member.log.open("ab") as log:
                 process = await asyncio.create_subprocess_exec(
-                    # A lower priority, for the lab's clock; not before this, as the lab waits for the exec.
-                    *("nice", "-n", str(NICE)), "/bin/sh", "-c", member.command,
+                    *("/bin/sh", "-c", member.command),
                     cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
                     start_new_session=True, preexec_fn=bound(member.limits, os.getpid()), pass_fds=passed,
                 )  # fmt: skip
