--- a/fleetlab/checks/run.py
+++ b/fleetlab/checks/run.py
@@ -78,6 +78,7 @@
         self.phases: dict[str, float] = {}
         self.used: dict[str, records.Used] = {}
         self.lag_s = 0.0
+        self.lags: list[records.Lag] = []
         self.unknown_messages: list[UnknownMessage] = []
         self._open: dict[str, list[Attempt]] = {}  # by connection
         self._ended: set[str] = set()  # connections that their relay has ended
@@ -118,6 +119,7 @@
                 self._processed(record)
             case records.Lag():
                 self.lag_s = max(self.lag_s, record.late_s)
+                self.lags.append(record)
             case records.Told():
                 self.told[record.relay].append(record)
             case records.Phase():
@@ -184,6 +186,10 @@
         lasted = [Span(some.kind, name, some.t, float("inf"), some.to) for (_, name), some in begun.items()]
         return spans + lasted
 
+    def lag_within(self, since: float, until: float) -> float:
+        """How late the lab itself came at most within a span."""
+        return max((lag.late_s for lag in self.lags if since <= lag.t <= until), default=0.0)
+
     def in_aim(self, trace: MessageTrace) -> bool:
         """Whether a message was delivered within its class's aim."""
         took_s = trace.took_s
--- a/tests/lab/test_teeth.py
+++ b/tests/lab/test_teeth.py
@@ -381,6 +381,18 @@
     assert late([*cut], 3.7)
 
 
+@pytest.mark.parametrize(("lag_s", "found"), [(0.04, True), (0.06, False)])
+def test_a_request_crosses_the_end_of_its_connection_for_longer_in_a_late_lab(
+    days: Days, lag_s: float, found: bool
+) -> None:
+    """Each of the two passes the lab: it may be late by its lag twice, and by no more."""
+    some = history(days)
+    leave_unanswered_while_it_ends(some)
+    handed = next(item for item in some if isinstance(item, records.Handed))
+    some.append(records.Lag(handed.t + 0.1, lag_s))
+    assert bool(findings(Run(some))["served_to_the_end"]) is found
+
+
 def test_a_late_lab_is_invalid_not_failed(days: Days) -> None:
     """What the lab itself may have caused is not the relay's."""
     some = history(days)
