End a call by shutdown where a process that was to take over may hold its connection

Cause, read on the search for copies that outlive their call: a process that was given everything and has not taken it (held up for over a second) leaves the old one serving, and holds copies of the descriptors meanwhile. A call that the old one ends then stays open by the copy, and its messages are sent again beside it. Change: connections that were given once are shut down before they are closed.

--- a/mallowlug/hosts.py
+++ b/mallowlug/hosts.py
@@ -189,6 +189,7 @@
             came = None
             if call.connection is not None and call.written:
                 came = bytes(call.connection.came)
+                call.connection.shared = True
                 fds.append(call.connection.sock.fileno())
             calls.append((copy, came))
             LOG.info(
--- a/mallowlug/http.py
+++ b/mallowlug/http.py
@@ -38,6 +38,8 @@
     def __init__(self, sock: socket.socket, address: Address) -> None:
         self.sock, self.unsent, self._address = sock, 0, address
         self.own_port = 0  # by which the other side's records name it; 0: not known
+        # Whether another process may hold it too: one that was to take over. Its copy would outlive a close.
+        self.shared = False
         self.begun = False  # whether a byte of the present request has gone out
         self.kept_s = 0.0  # monotonic time since which it stands idle; 0 until its first call is over
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
@@ -268,6 +270,9 @@
         """Give the connection up, and with it a call that is out on it; once more changes nothing."""
         self._unwatch()
         self._stop_writing()
+        if self.shared:
+            with suppress(OSError):  # it is closed, or its peer has reset it
+                self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
 
     def abort(self) -> None:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -843,3 +843,24 @@
     assert open_when_told["m2"] is False
     assert after.hosts.calls == set()
     host.stop()
+
+
+@pytest.mark.parametrize("how", ["called off", "timed out", "answered without an end"])
+async def test_a_call_ends_although_another_process_holds_a_copy_of_its_connection(how: str) -> None:
+    """One that was to take over and is held up has them already, and this process goes on as the relay."""
+    spoilt = b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\n"
+    host = await serving(writes(spoilt) if how == "answered without an end" else silent)
+    calls = Calls(host.port)
+    call = calls.send("m1", limit_us=300_000 if how == "timed out" else 20_000_000)
+    request = await host.call(0)
+    assert call.connection is not None
+    _, fds = calls.hosts.leave(10)
+    copy = os.dup(fds[0])
+    if how == "called off":
+        calls.hosts.cancel("m1", 0)
+    await calls.outcome("m1")
+    async with asyncio.timeout(5):
+        while request.writer in host.writers:
+            await asyncio.sleep(0.01)
+    os.close(copy)
+    host.stop()
