--- a/fleetlab/lab_run.py
+++ b/fleetlab/lab_run.py
@@ -646,6 +646,10 @@
             await endpoint.come_back()
             for link in links:
                 link.open()
+        elif fault.kind == "partner-shut":
+            endpoint.shut(self._clock.now() + (fault.for_s or 0.0))
+            await self._wait_fault_duration(fault)
+            endpoint.reopen()
         elif fault.kind == "drain":
             self.platform.change_health(host, "DRAINING")
             await self._wait_fault_duration(fault)
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -51,13 +51,16 @@
 FaultKind = Literal[
     "kill", "pause", "terminate", "slow", "limit", "replace", "reload", "crowd",  # processes
     "cut", "reset", "delay", "throttle", "datagrams",  # links
-    "partner-down", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain",  # partners
+    "partner-down", "partner-shut", "partner-slow", "partner-fail", "partner-hang",  # partners
+    "partner-limit", "drain",  # partners
     "list-gone", "list-crowded", "list-late", "list-moved", "list-silent",  # the platform
 ]  # fmt: skip
 RELAY_FAULTS = ("replace", "reload", "crowd")
 PROCESS_FAULTS = ("kill", "pause", "terminate", "slow", "limit", *RELAY_FAULTS)
 LINK_FAULTS = ("cut", "reset", "delay", "throttle", "datagrams")
-PARTNER_FAULTS = ("partner-down", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain")
+PARTNER_FAULTS = (
+    "partner-down", "partner-shut", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain",
+)  # fmt: skip
 PLATFORM_FAULTS = ("list-gone", "list-crowded", "list-late", "list-moved", "list-silent")
 
 
@@ -295,8 +298,8 @@
         raise ValueError("kind: replace needs passed_socket")
     if fault.gap_s < 0 or fault.repeats < 1 or fault.connections < 0:
         raise ValueError("gap_s, repeats, connections: not below 0, and one repeat at least")
-    if fault.kind == "pause" and fault.for_s is None:
-        raise ValueError("for_s: pause needs it")
+    if fault.kind in ("pause", "partner-shut") and fault.for_s is None:
+        raise ValueError(f"for_s: {fault.kind} needs it")
     valid_targets = set(possible_targets(fault.kind, scenario))
     for name in fault.on:
         if name not in valid_targets:
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -20,8 +21,6 @@
 # Paths of a call with one message, and of a call with a batch of messages.
 SINGLE_PATH = "/hook"
 BATCH_PATH = "/hook/batch"
-# Arrivals above ``fall_multiple`` that a cold destination tolerates: with few calls, chance alone exceeds it.
-COLD_SLACK_CALLS = 6
 # Idempotency keys that a destination remembers; beyond this number the oldest is forgotten first.
 MAX_REMEMBERED_KEYS = 100_000
 
@@ -52,6 +51,7 @@
     fall_multiple: float = 2.0
     fall_s: float = 2.0
     fallen_s: float = 6.0  # how long an endpoint stays down after a collapse
+    cold_slack_calls: float = 6.0  # calls above ``fall_multiple`` that it bears while it is cold
     key_window_s: float = 7.5  # how long a repeat of an idempotency key is recognised
 
     @property
@@ -100,6 +100,7 @@
     slowdown: float = 1.0  # factor on the usual service time
     failure_share: float = 0.0  # share of calls that are answered with 500
     hang_share: float = 0.0  # share of calls that are accepted and never answered
+    shut_until_s: float = 0.0  # until then every call is refused
 
 
 class DestinationModel:
@@ -145,10 +146,17 @@
             self._cold_arrivals_s.popleft()
         max_arrivals = (
             self.spec.fall_multiple * share * self.spec.warm_capacity_per_s * self.spec.fall_s
-            + COLD_SLACK_CALLS
+            + self.spec.cold_slack_calls
         )
         return len(self._cold_arrivals_s) > max_arrivals
 
+    def _refuse_while_shut(self, now_s: float, host: str) -> ErrorReply | None:
+        """Return the refusal of a call to an endpoint that is shut, with the time until it opens again."""
+        left_s = self.faults_by_host[host].shut_until_s - now_s
+        if left_s <= 0:
+            return None
+        return ErrorReply(429, math.ceil(left_s * 1000)) if self.spec.tells_wait else ErrorReply(503)
+
     def _check_rate_limit(self, now_s: float) -> ErrorReply | None:
         """Count a call in the current window; return a refusal when it is above the limit."""
         if not self.limit_per_s:
@@ -169,6 +177,8 @@
         self, now_s: float, host: str, call_number: int, work_s: float
     ) -> ErrorReply | ScheduledCall | None:
         """Take a new call; return a refusal, the call if it gets a slot at once, or None if it is queued."""
+        if (refusal := self._refuse_while_shut(now_s, host)) is not None:
+            return refusal
         if (refusal := self._check_rate_limit(now_s)) is not None:
             return refusal
         calls = self.calls_by_host[host]
@@ -272,9 +282,22 @@
 
     async def come_back(self) -> None:
         """End an outage: the destination is cold, and the endpoint listens again."""
+        self._start_warmup()
+        await self.listener.start()
+
+    def shut(self, until_s: float) -> None:
+        """Begin an outage in which calls are refused with the time to wait until ``until_s``."""
+        self.destination.faults_by_host[self.host].shut_until_s = until_s
+        self._sink(Partner(self._clock.now(), self.host, "down", self.destination.spec.warm_capacity_per_s))
+
+    def reopen(self) -> None:
+        """End such an outage: the destination is cold."""
+        self.destination.faults_by_host[self.host].shut_until_s = 0.0
+        self._start_warmup()
+
+    def _start_warmup(self) -> None:
         now_s = self._clock.now()
         self.destination.start_warmup(now_s)
-        await self.listener.start()
         share = self.destination.capacity_share(now_s)
         self._sink(Partner(now_s, self.host, "cold", self.destination.spec.warm_capacity_per_s, share))
 
