--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import pytest
 
+from decisions import interface as api
 from decisions.engine import DecisionEngine
-from tests.cold_fleet import Fleet, Scenario
+from tests.cold_fleet import BACK_US, SHORT_CLASSES, Fleet, Peak, Scenario
 
 OUTAGES = ["down", "shut", "fail", "hang"]
+UNSAFE_SEEDS = (26, 31, 50, 56, 57, 77)
+Classes = tuple[api.MessageClass, ...]
 
 
 @pytest.mark.parametrize("limit_reported", [True, False], ids=["limit told", "no limit told"])
@@ -61,3 +66,46 @@
     monkeypatch.setattr(DecisionEngine, "_rate_share", lambda *_: 20.0)
     peaks = [Fleet(Scenario(outage, 30, 1, limit_reported=False)).run() for outage in OUTAGES]
     assert any(peak.breaks_rule for peak in peaks), peaks
+
+
+def broken_peaks(
+    outage: str, capacity: float, seeds: Iterable[int], *, kill_us: int = 0, classes: Classes = SHORT_CLASSES
+) -> list[tuple[str, float, int, Peak]]:
+    """The windows that break the rule, of 46 relays with two slots, short deadlines and retries."""
+    broken = []
+    for seed in seeds:
+        scenario = Scenario(
+            outage, 46, seed, limit_reported=False, capacity=capacity, load=1.1, uneven=0.7, endpoints=2,
+            slots=2, classes=classes, kill_us=kill_us, retries=2, wide_if_few=True,
+        )  # fmt: skip
+        if (peak := Fleet(scenario).run()).breaks_rule:
+            broken.append((outage, capacity, seed, peak))
+    return broken
+
+
+def test_relays_that_were_told_to_wait_do_not_return_together() -> None:
+    """A destination that is shut tells each caller to wait until it is back."""
+    assert not [peak for capacity in (5.0, 20.0) for peak in broken_peaks("told", capacity, range(10))]
+
+
+def test_calls_that_hang_past_the_return_are_not_all_repeated_at_once() -> None:
+    """Such calls fail only after the return, each as the first failure that its relay sees."""
+    outages = ("hang", 5.0), ("hang", 10.0), ("silent", 5.0)
+    assert not [peak for outage, capacity in outages for peak in broken_peaks(outage, capacity, range(10))]
+
+
+def test_failures_at_all_endpoints_of_a_destination_count_together() -> None:
+    """A message that may not be repeated shows its relay one failure, at one of the endpoints."""
+    unsafe = SHORT_CLASSES[2:]
+    assert not [
+        p for capacity in (10.0, 20.0) for p in broken_peaks("fail", capacity, UNSAFE_SEEDS, classes=unsafe)
+    ]
+
+
+def test_a_fleet_that_restarts_with_held_messages_spares_a_cold_destination() -> None:
+    """All that a journal held arrives in the first step; it was taken on over many seconds."""
+    kill_us = BACK_US - 2_600_000
+    plays = [(outage, capacity) for outage in (*OUTAGES, "told") for capacity in (5.0, 20.0)]
+    assert not [
+        p for outage, capacity in plays for p in broken_peaks(outage, capacity, range(4), kill_us=kill_us)
+    ]
