Log and count what an outage does to the calls to a destination

The report's logs tell nothing of the seconds in which the destinations fell: neither that a relay paced its calls, nor when it took a return for a cold one, nor its share. Now a line and a figure for a failure after which calls are paced, for a cold return and for the end of a warm-up, with the message's id, the failures in a row, the told wait, the pause and the share.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -12,6 +12,7 @@
 import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from itertools import islice
@@ -40,6 +41,7 @@
     Wake,
     Withdrawn,
 )
+from decisions.outages import OutageEvent
 from decisions.ranked_queue import DeadlineQueue, RankedMessage
 from decisions.state import (
     Call,
@@ -154,6 +156,7 @@
         )
         self.open_messages = 0  # messages that still need an answer
         self.calls_out = 0
+        self.outage_counts = Counter[OutageEvent]()
         self.next_wake_us = -1  # the wake-up asked for last
         self.hold_count = 0  # numbers the places in the queue of held messages
         self.arrival_count = 0
@@ -641,9 +644,11 @@
                 # Back from an outage: calls now keep to this relay's part of what a cold server takes.
                 limiter.cold_since_us = self.now_us
                 self._space_cold_calls(endpoint, limiter, self.rng.random())
+                self._log_outage(OutageEvent.COLD_RETURN, endpoint, limiter, f"#{event.id} served")
             limiter.last_success_us, limiter.failures_in_row = self.now_us, 0
-            if self.now_us - limiter.cold_since_us > self.settings.warm_within_us:
+            if 0 <= limiter.cold_since_us < self.now_us - self.settings.warm_within_us:
                 limiter.cold_since_us = -1
+                self._log_outage(OutageEvent.WARM, endpoint, limiter, "warm-up over")
         endpoint.rate_limiter.served.add(False, self.now_us)
         if not self._shares_reported_limit(endpoint.rate_limiter):
             endpoint.rate_limiter.allowed_rate = (
@@ -761,11 +766,12 @@
             for each in endpoint.limiters
         )
         failing_on = limiter.cold_since_us >= 0 or (limiter.failures_in_row > 1 and not served_lately)
-        if (
+        paced = (
             failing_on
             or self.trial_failures[refused and not other_failures].hit_ratio(self.now_us)
             > OUTAGE_FAILURE_RATIO
-        ):
+        )
+        if paced:
             trials_per_s = (
                 self.settings.fall_multiple * self.settings.cold_from * self._rate_share(endpoint, limiter)
             )
@@ -784,6 +790,22 @@
             limiter.pause_until_us = max(
                 limiter.pause_until_us, start_us + int((start_us - self.now_us) * self.rng.random())
             )
+        if paced:
+            self._log_outage(OutageEvent.PACED_FAILURE, endpoint, limiter, f"{verdict.value} #{event.id}")
+
+    def _log_outage(self, event: OutageEvent, endpoint: Endpoint, limiter: LimiterState, reason: str) -> None:
+        """Count and log what an outage does to the calls to a destination."""
+        self.outage_counts[event] += 1
+        pause_us = max(0, limiter.pause_until_us - self.now_us)
+        wait_us = max(0, endpoint.rate_limiter.told_wait_until_us - self.now_us)
+        share_per_s = self._rate_share(endpoint, limiter)
+        self.actions.append(
+            Log(
+                f"outage: dest {endpoint.dest} at {endpoint.host}: {event.value}, {reason}; "
+                f"{limiter.failures_in_row} failures in a row, told to wait {wait_us // 1000} ms, "
+                f"next call in {pause_us // 1000} ms, share {share_per_s:.3f}/s"
+            )
+        )
 
     def _max_connections(self, endpoint: Endpoint) -> float:
         """Calls at once for which the endpoint has connections, by what it turned away; grows with time."""
--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -107,6 +107,7 @@
                 "files": STATE_FILE_DESCRIPTORS,
             },
             calls=self.driver.call_counts,
+            outages=self.driver.outage_counts,
             ended_clients={str(reason): count for reason, count in self.server.ended_counts.items()},
             refused_messages={str(reason): count for reason, count in self.driver.refusal_counts.items()},
         )
--- a/relay/driver.py
+++ b/relay/driver.py
@@ -23,6 +23,7 @@
 from decisions import DecisionEngine, ranked_queue, state
 from decisions import interface as api
 from decisions.interface import Settings
+from decisions.outages import OutageEvent
 from relay import calls, endpoint_calls, endpoint_list
 from relay.calls import Call, Part, PartOutcome
 from relay.config import Config
@@ -333,6 +334,11 @@
         """Calls out as the network side and the decision module count them; equal after the next step."""
         return {"network": len(self._endpoint_calls.calls), "module": self._module.calls_out}
 
+    @property
+    def outage_counts(self) -> dict[str, int]:
+        """How often destinations entered and left outages, as the decision module saw it."""
+        return {str(event): self._module.outage_counts[event] for event in OutageEvent}
+
     @property
     def descriptor_counts(self) -> dict[str, int]:
         """Open descriptors by purpose; a connection that is being established is not counted yet."""
--- a/relay/resource_usage.py
+++ b/relay/resource_usage.py
@@ -33,6 +33,7 @@
     journal_writes: int
     descriptors: Mapping[str, int]  # open now, by purpose
     calls: Mapping[str, int] = field(default_factory=dict)  # in flight now, by the part that counts them
+    outages: Mapping[str, int] = field(default_factory=dict)  # of destinations, by event
     ended_clients: Mapping[str, int] = field(default_factory=dict)  # connections the relay closed, by reason
     refused_messages: Mapping[str, int] = field(default_factory=dict)  # by reason
 
@@ -131,6 +132,7 @@
         *((f"descriptors.{purpose}", count, "g") for purpose, count in counters.descriptors.items()),
         ("descriptors.rest", None if other_descriptors is None else max(0, other_descriptors), "g"),
         *((f"calls.{name}", count, "g") for name, count in counters.calls.items()),
+        *((f"outages.{name}", count, "c") for name, count in counters.outages.items()),
         *((f"clients.ended.{reason}", count, "c") for reason, count in counters.ended_clients.items()),
         *((f"clients.refused.{reason}", count, "c") for reason, count in counters.refused_messages.items()),
         ("messages.ended", ended_messages, "c"),
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 import pytest
 
 from decisions import interface as api
 from decisions.engine import DecisionEngine
+from decisions.outages import OutageEvent
 from decisions.state import Destination, Endpoint, LimiterState
 from tests.checker import Checker
 from tests.support import KEYED, SAFE, SECOND, arrival, ended, endpoint_update, entry, sends, settings
@@ -77,6 +79,22 @@
         assert len(calls_at_return(verdict, seed)) == 1, seed
 
 
+def test_an_outage_is_logged_and_counted_from_its_failures_to_the_end_of_the_warm_up() -> None:
+    relay = DecisionEngine(settings(group_size=20, warm_within_us=5 * SECOND), seed=1)
+    relay.step(0, [endpoint_update(entry("h1"))])
+    lines: list[str] = []
+    for number, verdict in enumerate([DOWN, DOWN, api.Verdict.OK, api.Verdict.OK]):
+        now_us = (1 + number) * 1000 * SECOND
+        [send] = sends(relay.step(now_us, [arrival(f"m{number}")]))
+        actions = relay.step(now_us + 1000, [ended(send, verdict), api.Withdrawn(send.id)])
+        lines += [action.line for action in actions if isinstance(action, api.Log)]
+    outage_lines = [line for line in lines if line.startswith("outage: dest 1 at h1: ")]
+    events = [line.removeprefix("outage: dest 1 at h1: ").partition(",")[0] for line in outage_lines]
+    assert list(dict.fromkeys(events)) == [str(event) for event in OutageEvent]
+    assert relay.outage_counts == Counter(events)
+    assert "connect_failed #m1; 2 failures in a row, told to wait 0 ms, next call in" in outage_lines[0]
+
+
 @pytest.mark.parametrize("size", [1, 4])
 def test_two_failures_in_a_row_are_no_outage_where_a_relay_sees_enough_by_itself(size: int) -> None:
     """In a small group each relay sees a third failure soon, and two may be chance: held messages go out."""
--- a/tests/test_resource_usage.py
+++ b/tests/test_resource_usage.py
@@ -207,6 +207,7 @@
     await host.wait_request(0)
     values = await admin_world.read_costs()
     assert (values["calls.network"], values["calls.module"]) == (1, 1)
+    assert values["outages.paced_failure"] == values["outages.cold_return"] == 0
     answers = [await client.submit(f"m{number}") for number in range(2, 6)]
     refused = sum(answer.startswith(b"-BUSY") for answer in answers)
     broken = await admin_world.connect_client()
