Spread a fleet's first calls after a told wait, and take the return for a cold one

Cause: a destination that is shut tells every caller to wait until the same moment, which is its cold return. A relay that was refused once paused for the wait and 60 to 260 ms (_record_failure paced by the relay's share only from the second failure in a row on, and spread over the wait's length only where calls were served in the last 2 s), and took its first success for no return (_update_statistics asks for two failures). So all relays that held a message called within 0.3 s. The same for a wait that only the network side knows, as after a replacement by another layout: its calls end as not sent, which counted as nothing.

Ruled out for it: restarts (none there).

The first call after the wait is drawn from the whole time between trials of this relay, and a success then is a cold return.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -570,6 +570,8 @@
             endpoint.last_call_end_us = self.now_us
             self.calls_out -= 1
             self._apply_advertised_rate(endpoint.rate_limiter, event.limit_per_s, event.limit_share_left)
+            if verdict is Verdict.NOT_SENT and event.wait_us >= COLD_RETURN_GAP_US:
+                self._spread_after_wait(endpoint)
             if verdict not in (Verdict.CANCELLED, Verdict.NOT_SENT):
                 self._update_statistics(call, message, event)
             # Many relays' idle connections fill a server's small connection table, so one that will hardly
@@ -632,7 +634,8 @@
         # More failures in a row than this are an outage; a relay of a large group sees fewer of the calls.
         max_failures = 1 if self.large_group else 2
         outage = any(
-            limiter.failures_in_row > max_failures
+            limiter.is_shut
+            or limiter.failures_in_row > max_failures
             or self.trial_failures[limiter.last_failure_was_refusal].hit_ratio(self.now_us)
             > OUTAGE_FAILURE_RATIO
             for limiter in tried
@@ -646,6 +649,7 @@
                 self._space_cold_calls(endpoint, limiter, self.rng.random())
                 self._log_outage(OutageEvent.COLD_RETURN, endpoint, limiter, f"#{event.id} served")
             limiter.last_success_us, limiter.failures_in_row = self.now_us, 0
+            limiter.is_shut = False
             if 0 <= limiter.cold_since_us < self.now_us - self.settings.warm_within_us:
                 limiter.cold_since_us = -1
                 self._log_outage(OutageEvent.WARM, endpoint, limiter, "warm-up over")
@@ -742,6 +746,8 @@
             and bool(event.limit_per_s)
             and SHARE_LEFT_FACTOR * (event.limit_share_left or 0.0) < 1
         )
+        if refused and self._tells_outage(event.wait_us, limit_used_up or served_lately):
+            limiter.is_shut = True
         if limiter.failures_in_row and sent_us > limiter.last_failure_us and not limit_used_up:
             self.trial_failures[refused].add(True, self.now_us)
         if sent_us > limiter.last_failure_us or not limiter.failures_in_row:
@@ -765,19 +771,22 @@
             each.cold_since_us >= 0 or (each.failures_in_row and not each.last_failure_was_refusal)
             for each in endpoint.limiters
         )
-        failing_on = limiter.cold_since_us >= 0 or (limiter.failures_in_row > 1 and not served_lately)
+        failing_on = (
+            limiter.is_shut
+            or limiter.cold_since_us >= 0
+            or (limiter.failures_in_row > 1 and not served_lately)
+        )
         paced = (
             failing_on
             or self.trial_failures[refused and not other_failures].hit_ratio(self.now_us)
             > OUTAGE_FAILURE_RATIO
         )
         if paced:
-            trials_per_s = (
-                self.settings.fall_multiple * self.settings.cold_from * self._rate_share(endpoint, limiter)
-            )
-            gap_us = max(gap_us, 1e6 / trials_per_s)
+            gap_us = max(gap_us, self._trial_gap_us(endpoint, limiter))
         start_us = max(self.now_us, limiter.told_wait_until_us)
-        if limit_used_up:
+        if limiter.is_shut:  # all relays were told the same end of the wait
+            limiter.pause_until_us = max(limiter.pause_until_us, start_us + int(gap_us * self.rng.random()))
+        elif limit_used_up:
             limiter.pause_until_us = max(
                 limiter.pause_until_us,
                 start_us + int(1e6 / limiter.allowed_rate * self.rng.uniform(0.3, 1.3)),
@@ -793,6 +802,27 @@
         if paced:
             self._log_outage(OutageEvent.PACED_FAILURE, endpoint, limiter, f"{verdict.value} #{event.id}")
 
+    def _trial_gap_us(self, endpoint: Endpoint, limiter: LimiterState) -> float:
+        """The time between trials at which those of all relays together are what a cold server takes."""
+        share_per_s = self._rate_share(endpoint, limiter)
+        return 1e6 / (self.settings.fall_multiple * self.settings.cold_from * share_per_s)
+
+    def _spread_after_wait(self, endpoint: Endpoint) -> None:
+        """Note that a destination is shut, and spread the relays' first calls after the wait that it told."""
+        limiter = endpoint.rate_limiter
+        limiter.is_shut = True
+        limiter.failures_in_row = max(1, limiter.failures_in_row)
+        delay_us = int(self._trial_gap_us(endpoint, limiter) * self.rng.random())
+        limiter.pause_until_us = max(limiter.pause_until_us, limiter.told_wait_until_us + delay_us)
+
+    def _tells_outage(self, wait_us: int, limit_refuses: bool) -> bool:
+        """Whether a wait told with a refusal shows an outage, at whose end the server is cold.
+
+        Nobody is served during the wait, so a long one is an outage whatever refused the call. In a large
+        group a relay sees few calls, and any wait shows one unless the limit is used up or calls are served.
+        """
+        return wait_us >= COLD_RETURN_GAP_US or (self.large_group and wait_us > 0 and not limit_refuses)
+
     def _log_outage(self, event: OutageEvent, endpoint: Endpoint, limiter: LimiterState, reason: str) -> None:
         """Count and log what an outage does to the calls to a destination."""
         self.outage_counts[event] += 1
--- a/decisions/state.py
+++ b/decisions/state.py
@@ -71,6 +71,8 @@
         self.failures_in_row = 0
         self.last_failure_us = 0  # when a failure was counted in the row last
         self.last_failure_was_refusal = False
+        # Whether the last calls were refused with a wait and not by a limit; it holds until a success.
+        self.is_shut = False
         self.last_success_us = -(1 << 60)  # long ago: none yet
         self.cold_since_us = -1  # when the warm-up after an outage began (-1: warm)
         self.told_wait_until_us = 0  # the server asked for no calls before this time
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -79,6 +79,41 @@
         assert len(calls_at_return(verdict, seed)) == 1, seed
 
 
+def first_call_after_wait(verdict: api.Verdict, wait_us: int, size: int, seed: int) -> int:
+    """The us from the end of a told wait to a relay's next call; before, it is served every 4 s."""
+    checker = Checker(settings(group_size=size, max_attempts=12), seed=seed)
+    checker.step(0, [endpoint_update(entry("h1"))])
+    now_us = 0
+    for number in range(5):
+        now_us += 4 * SECOND
+        [send] = sends(checker.step(now_us, [arrival(f"m{number}", KEYED)]))
+        served = number < 4
+        outcome = ended(send, api.Verdict.OK if served else verdict, wait_us=0 if served else wait_us)
+        checker.step(now_us + 1000, [outcome])
+    end_us = now_us + 1000 + wait_us
+    while not sends(checker.step(now_us := now_us + 20_000, [api.TimerDue()])):
+        checker.step(now_us, [arrival(f"later{now_us}", KEYED)] if now_us % SECOND == 0 else [])
+    return now_us - end_us
+
+
+@pytest.mark.parametrize(
+    ("verdict", "wait_us", "size"),
+    [
+        pytest.param(api.Verdict.FULL, 5 * SECOND, 40, id="refused"),
+        pytest.param(api.Verdict.FULL, SECOND // 2, 40, id="refused with a short wait, in a large group"),
+        pytest.param(api.Verdict.FULL, 5 * SECOND, 2, id="refused, in a small group"),
+        pytest.param(api.Verdict.NOT_SENT, 5 * SECOND, 40, id="known from the process before"),
+    ],
+)
+def test_calls_after_a_told_wait_are_spread_over_the_time_between_trials(
+    verdict: api.Verdict, wait_us: int, size: int
+) -> None:
+    """A server that was shut is cold at the end of the wait that it told all relays."""
+    delays_us = [first_call_after_wait(verdict, wait_us, size, seed) for seed in range(12)]
+    assert min(delays_us) >= 0
+    assert sum(delay_us > 2 * SECOND for delay_us in delays_us) >= 4
+
+
 def test_an_outage_is_logged_and_counted_from_its_failures_to_the_end_of_the_warm_up() -> None:
     relay = DecisionEngine(settings(group_size=20, warm_within_us=5 * SECOND), seed=1)
     relay.step(0, [endpoint_update(entry("h1"))])
