Count failures over all endpoints of a destination, and one as an outage in a large group

Cause: an outage was judged by each endpoint's own failures in a row, from the second on. A relay of a large group sees few calls: one that hangs at each of two endpoints, or one payment that may not be repeated. It tried each endpoint twice within half a second, and took its first success for no return, also where the failure was another endpoint's; so all that was held went out at once.

Change: in a large group failures count over all limiters of a destination with none served since. Two of them pace the whole destination; a success behind any is a cold return. Refusals above a used-up limit count as before, routes with limits of their own and small groups are judged as before, and an endpoint that is down alone makes its sibling cold once only.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -631,11 +631,8 @@
             0,
         )
         tried = [limiter for limiter in endpoint.limiters if limiter.failures_in_row]
-        # More failures in a row than this are an outage; a relay of a large group sees fewer of the calls.
-        max_failures = 1 if self.large_group else 2
-        outage = any(
-            limiter.is_shut
-            or limiter.failures_in_row > max_failures
+        outage = self._failed_elsewhere(endpoint, endpoint.own_limiter) or any(
+            self._was_out(limiter)
             or self.trial_failures[limiter.last_failure_was_refusal].hit_ratio(self.now_us)
             > OUTAGE_FAILURE_RATIO
             for limiter in tried
@@ -649,7 +646,7 @@
                 self._space_cold_calls(endpoint, limiter, self.rng.random())
                 self._log_outage(OutageEvent.COLD_RETURN, endpoint, limiter, f"#{event.id} served")
             limiter.last_success_us, limiter.failures_in_row = self.now_us, 0
-            limiter.is_shut = False
+            limiter.is_shut = limiter.only_limit_refusals = False
             if 0 <= limiter.cold_since_us < self.now_us - self.settings.warm_within_us:
                 limiter.cold_since_us = -1
                 self._log_outage(OutageEvent.WARM, endpoint, limiter, "warm-up over")
@@ -659,6 +656,29 @@
                 self._grown_allowed_rate(endpoint.rate_limiter) * SERVED_RATE_FACTOR
             )
 
+    def _was_out(self, limiter: LimiterState) -> bool:
+        """Whether the failures before a success were an outage; in a large group any but those of a limit."""
+        max_failures = 0 if self.large_group else 2
+        return limiter.is_shut or (limiter.failures_in_row > max_failures and not limiter.only_limit_refusals)
+
+    def _failed_elsewhere(self, endpoint: Endpoint, limiter: LimiterState) -> bool:
+        """Whether calls under other limiters of the destination failed, and none was served there since.
+
+        Outages mostly take all endpoints of a destination. A relay of a large group sees few calls, and each
+        endpoint may show it one failure; a small group judges each endpoint by itself.
+        """
+        if not self.large_group or endpoint.kind.limit_per_endpoint:
+            return False
+        shared = endpoint.rate_limiter
+        siblings = self.dests[endpoint.dest].endpoints.values()
+        return any(
+            other is not limiter
+            and other.failures_in_row > 0
+            and not other.only_limit_refusals
+            and other.failing_since_us > shared.last_success_us
+            for other in (shared, *(sibling.own_limiter for sibling in siblings))
+        )
+
     def _is_idle_cut(self, call: Call, lost: bool) -> bool:
         """Whether the call may be lost because its connection was cut while idle.
 
@@ -746,10 +766,16 @@
             and bool(event.limit_per_s)
             and SHARE_LEFT_FACTOR * (event.limit_share_left or 0.0) < 1
         )
+        limiter.only_limit_refusals = limit_used_up and (
+            limiter.only_limit_refusals or not limiter.failures_in_row
+        )
+        failed_elsewhere = not limit_used_up and self._failed_elsewhere(endpoint, limiter)
         if refused and self._tells_outage(event.wait_us, limit_used_up or served_lately):
             limiter.is_shut = True
         if limiter.failures_in_row and sent_us > limiter.last_failure_us and not limit_used_up:
             self.trial_failures[refused].add(True, self.now_us)
+        if not limiter.failures_in_row:
+            limiter.failing_since_us = self.now_us
         if sent_us > limiter.last_failure_us or not limiter.failures_in_row:
             failures_in_row = (
                 max(1, limiter.failures_in_row) if limit_used_up else limiter.failures_in_row + 1
@@ -774,7 +800,7 @@
         failing_on = (
             limiter.is_shut
             or limiter.cold_since_us >= 0
-            or (limiter.failures_in_row > 1 and not served_lately)
+            or ((limiter.failures_in_row > 1 or failed_elsewhere) and not served_lately)
         )
         paced = (
             failing_on
@@ -799,6 +825,11 @@
             limiter.pause_until_us = max(
                 limiter.pause_until_us, start_us + int((start_us - self.now_us) * self.rng.random())
             )
+        if failed_elsewhere and not refused and not served_lately:  # the whole destination is out
+            gap_us = self._trial_gap_us(endpoint, endpoint.rate_limiter)
+            endpoint.rate_limiter.pause_until_us = max(
+                endpoint.rate_limiter.pause_until_us, start_us + int(gap_us * self.rng.uniform(0.3, 1.3))
+            )
         if paced:
             self._log_outage(OutageEvent.PACED_FAILURE, endpoint, limiter, f"{verdict.value} #{event.id}")
 
--- a/decisions/state.py
+++ b/decisions/state.py
@@ -69,8 +69,11 @@
 
     def __init__(self, decay_us: int) -> None:
         self.failures_in_row = 0
+        self.failing_since_us = 0  # when the first failure in the row was counted
         self.last_failure_us = 0  # when a failure was counted in the row last
         self.last_failure_was_refusal = False
+        # Whether all failures in the row are refusals above a limit that was used up.
+        self.only_limit_refusals = False
         # Whether the last calls were refused with a wait and not by a limit; it holds until a success.
         self.is_shut = False
         self.last_success_us = -(1 << 60)  # long ago: none yet
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -12,7 +12,7 @@
 from decisions.outages import OutageEvent
 from decisions.state import Destination, Endpoint, LimiterState
 from tests.checker import Checker
-from tests.support import KEYED, SAFE, SECOND, arrival, ended, endpoint_update, entry, sends, settings
+from tests.support import KEYED, SAFE, SECOND, UNSAFE, arrival, ended, endpoint_update, entry, sends, settings
 from tests.test_failures import Feed, drive, steady
 
 DOWN = api.Verdict.CONNECT_FAILED
@@ -79,6 +79,56 @@
         assert len(calls_at_return(verdict, seed)) == 1, seed
 
 
+def answered(relay: DecisionEngine, now_us: int, name: str, verdict: api.Verdict) -> api.Send:
+    """Hand in a message that may not be repeated, answer its call, and return the call."""
+    [send] = sends(relay.step(now_us, [arrival(name, UNSAFE)]))
+    relay.step(now_us + 50_000, [ended(send, verdict), api.Withdrawn(name)])
+    return send
+
+
+def calls_after_one_failure(size: int, hosts: tuple[str, ...]) -> int:
+    """How many of six messages go out at once behind the first success 20 s after a single failure."""
+    relay = DecisionEngine(settings(group_size=size), seed=1)
+    relay.step(0, [endpoint_update(*(entry(host) for host in hosts))])
+    for number in range(8):
+        answered(relay, (1 + number) * 3 * SECOND, f"served{number}", api.Verdict.OK)
+    failed = answered(relay, 40 * SECOND, "failed", api.Verdict.ERROR)
+    now_us = 60 * SECOND
+    first = answered(relay, now_us, "first", api.Verdict.OK)
+    assert len(hosts) == 1 or first.host != failed.host
+    return len(sends(relay.step(now_us + 100_000, [arrival(f"held{number}") for number in range(6)])))
+
+
+@pytest.mark.parametrize("hosts", [("h1",), ("h1", "h2")], ids=["same endpoint", "other endpoint"])
+def test_a_return_after_one_failure_is_a_cold_one_in_a_large_group(hosts: tuple[str, ...]) -> None:
+    """A message that may not be repeated shows its relay one failure of an outage."""
+    assert calls_after_one_failure(40, hosts) == 0
+    assert calls_after_one_failure(2, hosts) > 0
+
+
+def test_an_endpoint_that_is_down_alone_does_not_make_its_sibling_cold_again_and_again() -> None:
+    """Trials of the endpoint that is down go on failing while its sibling serves."""
+    checker = Checker(settings(group_size=40, max_attempts=12), seed=1)
+    checker.step(0, [endpoint_update(entry("h1"), entry("h2"))])
+    drive(
+        checker,
+        200 * SECOND,
+        steady(4 * SECOND, KEYED),
+        lambda _, send, __: (DOWN if send.host == "h1" else api.Verdict.OK, 50_000),
+    )
+    assert checker.relay.outage_counts[OutageEvent.COLD_RETURN] <= 2
+
+
+def test_failures_at_two_endpoints_of_a_destination_pace_like_two_at_one() -> None:
+    """Each relay of a fleet tried each endpoint twice within half a second."""
+    for seed in range(10):
+        checker = Checker(settings(group_size=40, max_attempts=12), seed=seed)
+        checker.step(0, [endpoint_update(entry("h1"), entry("h2"))])
+        feed = feed_once(5 * SECOND, [arrival("m1", KEYED)])
+        log = drive(checker, 7 * SECOND, feed, lambda *_: (DOWN, 20_000))
+        assert len(log) == 2, seed
+
+
 def first_call_after_wait(verdict: api.Verdict, wait_us: int, size: int, seed: int) -> int:
     """The us from the end of a told wait to a relay's next call; before, it is served every 4 s."""
     checker = Checker(settings(group_size=size, max_attempts=12), seed=seed)
