Count restored messages as demand of the time that they were held, not of the first second

A counter that is one second old takes three held messages for three a second (_accept, DecayingCounter.rate_per_s), so that all trials and calls after the return came several times too often.

Change: Arrival says whether its message is restored; where any is, demand counts from the longest deadline before the first step.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -161,6 +161,8 @@
         self.hold_count = 0  # numbers the places in the queue of held messages
         self.arrival_count = 0
         self.first_step_us = -1  # time of the first step of this engine (-1: none yet)
+        # From when on arrivals are counted as demand: earlier than the first step where it restores messages.
+        self.demand_since_us = -1
         # When to ask for the list next (-1: never). The first ask is at once.
         self.next_ask_us = 0 if settings.must_ask else -1
         # us from a failed ask to the one after it. It starts at a whole round of the group, since relays are
@@ -182,7 +184,8 @@
     def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in every event of the batch, then answer and dispatch once."""
         self.now_us, self.actions = now_us, []
-        self.first_step_us = now_us if self.first_step_us < 0 else self.first_step_us
+        if self.first_step_us < 0:
+            self.first_step_us = self.demand_since_us = now_us
         for event in events:
             if isinstance(event, EndpointUpdate):
                 self._apply_endpoint_update(event)
@@ -473,6 +476,8 @@
             ):
                 worth *= self.settings.over_share_worth
         message = self.messages[event.id] = Message(event, cls, self.now_us, worth)
+        if event.restored:
+            self._extend_demand_period()
         self.open_messages, self.arrival_count = self.open_messages + 1, self.arrival_count + 1
         message.arrival_number = self.arrival_count
         dest = self.dests.setdefault(event.dest, Destination(LimiterState(EVIDENCE_DECAY_US)))
@@ -486,6 +491,15 @@
                 self.key_cooldown_until_us[message.key] = self.now_us + self.settings.order_pause_us
         self._hold(message)
 
+    def _extend_demand_period(self) -> None:
+        """Count restored messages as arrived over the time that a message may be held, not all at once.
+
+        Otherwise what the previous process held seems to be the demand of the first second, and this relay's
+        share of a cold server comes out several times too high.
+        """
+        max_age_us = max(cls.deadline_us for cls in self.settings.classes)
+        self.demand_since_us = min(self.demand_since_us, self.first_step_us - max_age_us)
+
     def _hold(self, message: Message) -> None:
         """Keep a message for the dispatch, and note when it has to be answered."""
         self.hold_count += 1
@@ -905,7 +919,7 @@
         """This relay's part of a limit in calls/s: an equal one, or its own demand if that is more."""
         return max(
             limiter.advertised_rate / self.settings.group_size,
-            limiter.demand.rate_per_s(self.now_us, self.first_step_us),
+            limiter.demand.rate_per_s(self.now_us, self.demand_since_us),
             1e-3,
         )
 
--- a/decisions/interface.py
+++ b/decisions/interface.py
@@ -206,8 +206,8 @@
 class Arrival:
     """A message taken on; it must get exactly one final answer within ``time_left_us``.
 
-    The last three fields come from a previous process of this relay: the attempts made, and how long ago and
-    in which zone the first one was made that may have been executed (-1: none may have).
+    A ``restored`` message was taken on by a previous process of this relay. From there come the attempts
+    made, and how long ago and in which zone the first one was made that may have been executed (-1: none).
     """
 
     id: str
@@ -219,6 +219,7 @@
     attempts: int = 0
     uncertain_age_us: int = -1
     uncertain_zone: str = ""
+    restored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/relay/driver.py
+++ b/relay/driver.py
@@ -426,7 +426,7 @@
         self._hold(message, recovered.body, attempts)
         if known:
             return
-        former: dict[str, Any] = {"attempts": attempts}
+        former: dict[str, Any] = {"attempts": attempts, "restored": True}
         if uncertain := [a for a in recovered.attempts if not a.never_ran]:
             first = min(uncertain, key=lambda attempt: attempt.started_at_us)
             former |= {"uncertain_age_us": max(0, now_us - first.started_at_us), "uncertain_zone": first.zone}
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -99,11 +99,13 @@
     attempts: int = 0
     uncertain_since_us: int = -1  # when the first attempt began that may have run (-1: none may have)
 
-    def arrival(self, name: str, now_us: int) -> api.Arrival:
+    def arrival(self, name: str, now_us: int, *, restored: bool) -> api.Arrival:
         """The event by which an engine takes it on."""
         age_us = now_us - self.uncertain_since_us if self.uncertain_since_us >= 0 else -1
         left_us = self.deadline_us - now_us
-        return api.Arrival(name, 1, self.cls.name, left_us, "big", "", self.attempts, age_us)
+        return api.Arrival(
+            name, 1, self.cls.name, left_us, "big", "", self.attempts, age_us, restored=restored
+        )
 
 
 @dataclass(slots=True)
@@ -217,7 +219,7 @@
             return
         name = f"m{next(self._event_numbers)}"
         message = relay.journal[name] = JournaledMessage(cls, self.now_us + cls.deadline_us, retry)
-        self._step(number, message.arrival(name, self.now_us))
+        self._step(number, message.arrival(name, self.now_us, restored=False))
 
     def _lose_state(self, number: int) -> None:
         """Restart a relay at once, with no journal."""
@@ -237,7 +239,9 @@
         if relay.engine is not None or process != relay.process:
             return
         relay.engine = self._new_engine(number)
-        restored = [message.arrival(name, self.now_us) for name, message in relay.journal.items()]
+        restored = [
+            message.arrival(name, self.now_us, restored=True) for name, message in relay.journal.items()
+        ]
         self._step(number, api.EndpointUpdate(api.EndpointUpdateKind.CACHED, self._entries), *restored)
 
     def _call(self, number: int, send: api.Send) -> None:
--- a/tests/test_restored_messages.py
+++ b/tests/test_restored_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from decisions import interface as api
 from decisions.engine import DecisionEngine
 from tests.support import ORDERED, SECOND, UNSAFE, ZONED, ended, endpoint_update, entry, sends, settings
@@ -46,3 +48,16 @@
     assert sends(relay.step(100_000, [ended(first[0], attempt=1)])) == []
     assert sends(relay.step(pause_us - 1, [api.TimerDue()])) == []
     assert [send.id for send in sends(relay.step(pause_us, [api.TimerDue()]))] == ["m2"]
+
+
+def test_what_a_journal_held_is_not_taken_for_the_demand_of_the_first_second() -> None:
+    """Its share of a cold server came out several times too high for a relay that had held messages."""
+    held = [api.Arrival(f"m{number}", 1, UNSAFE.name, 9 * SECOND, restored=True) for number in range(3)]
+    relay = DecisionEngine(settings(), 1)
+    relay.step(0, [endpoint_update(entry("h1")), *held])
+    limiter = relay.endpoints["h1"].rate_limiter
+    max_age_s = max(cls.deadline_us for cls in settings().classes) / SECOND
+    assert relay._limit_share(limiter) <= 2 * 3 / max_age_s
+    fresh = DecisionEngine(settings(), 1)
+    fresh.step(0, [endpoint_update(entry("h1")), *(replace(event, restored=False) for event in held)])
+    assert fresh._limit_share(fresh.endpoints["h1"].rate_limiter) > 2.0, "three in the first second"
