Test that what stands behind a good answer answers no other call

It passes on the program as it is: the answer counts, and the connection is not used again. What is not covered is a copy that crosses the next request on the connection.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -394,3 +394,34 @@
     restart_s = 0.65 + 0.5  # the decision module's longest first gap, and a slow answer
     assert discovery.FIRST_POST_TIMEOUT_S + discovery.FIRST_RETRY_DELAY_S < 0.3
     assert 2 < discovery.SILENCE_TIMEOUT_S < 6 - restart_s
+
+
+COPY = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "surplus", [COPY, b"\x00noise\r\n\r\n", b"x"], ids=["second copy", "noise", "a byte"]
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.02], ids=["in one write", "straight after"])
+async def test_a_good_answer_with_more_behind_it_counts_and_the_rest_answers_no_other_call(
+    world: World, surplus: bytes, delay_s: float
+) -> None:
+    """The next message is refused by its own answer, though a copy of the one before says delivered."""
+    host = await world.add_host("h1")
+
+    def answer_twice(request: Request) -> None:
+        request.writer.write(COPY + (b"" if delay_s else surplus))
+        if delay_s:
+            asyncio.get_running_loop().call_later(delay_s, request.writer.write, surplus)
+
+    host.script += [answer_twice, lambda request: request.answer(410)]
+    client = await world.start_relay()
+    await client.submit("m1")
+    await host.wait_request(0)
+    await asyncio.sleep(0.1)
+    await client.submit("m2")
+    second = await host.wait_request(1)
+    assert second.connection_number == 2, "the connection with the rest was used again"
+    await client.submit("m3", d=400)
+    assert (await host.wait_request(2)).refs == ["m3"]
+    assert not [notice for notice in world.discovery.notices if notice["ref"] == "m1"]
