--- a/fleetlab/checks/run.py
+++ b/fleetlab/checks/run.py
@@ -78,6 +78,7 @@
         self.list_updates: dict[str, list[records.Told]] = defaultdict(list)
         self.list_changes: list[records.Changed] = []
         self.lives: dict[str, list[Life]] = defaultdict(list)
+        self.process_events: dict[str, list[records.Process]] = defaultdict(list)
         # by process: when a replacement was started
         self.replacement_times: dict[str, list[float]] = defaultdict(list)
         self._last_started_life: dict[str, int] = {}  # by process: the number of the one started last
@@ -169,6 +170,7 @@
         is the same life.
         """
         lives = self.lives[record.name]
+        self.process_events[record.name].append(record)
         if record.event == "start":
             self._last_started_life[record.name] = record.life
             if lives and lives[-1].end_s == float("inf"):
