Split the counting of a failure from the pause after it

DecisionEngine._record_failure had grown to 110 lines. What a failure shows of its destination is a typed value now (decisions/outages.py), and connection limits, the count in the row and the pause are functions of their own.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -41,7 +41,7 @@
     Wake,
     Withdrawn,
 )
-from decisions.outages import OutageEvent
+from decisions.outages import Failure, OutageEvent
 from decisions.ranked_queue import DeadlineQueue, RankedMessage
 from decisions.state import (
     Call,
@@ -743,109 +743,120 @@
         return False
 
     def _record_failure(self, call: Call, limiter: LimiterState, event: Outcome) -> None:
-        """Count a failure, and pause until the next trial; pauses grow with the age of an outage.
-
-        A refusal that reports a limit with little left is no sign of an outage, however often it comes: a
-        relay of a large group has few successes in between. It lowers the allowed rate, and counts as one
-        failure in a row at most.
-        """
-        endpoint, sent_us, verdict = call.endpoint, call.sent_us, event.verdict
-        refused, served_lately = (
-            verdict is Verdict.FULL,
-            self.now_us - limiter.last_success_us < COLD_RETURN_GAP_US,
-        )
-        if event.connections_full or (served_lately and verdict is Verdict.CONNECT_FAILED):
-            # A connection limit, as the endpoint says so or as other calls are served there: fewer calls at
-            # once from now on, and no failure is counted.
-            endpoint.connection_cap, endpoint.connection_cap_at_us = (
-                min(self._max_connections(endpoint), max(1, call.calls_beside)),
-                self.now_us,
-            )
-            if limiter.last_success_us < sent_us:  # nothing shows yet that other connections serve meanwhile
-                pause_us = MIN_TRIAL_GAP_US
-                if event.connections_full:
-                    mean_pause_us = min(
-                        MIN_TRIAL_GAP_US * 2.0 ** min(endpoint.connection_rejections, 10), MAX_TRIAL_GAP_US
-                    )
-                    pause_us = int(mean_pause_us * self.rng.uniform(0.5, 1.5))
-                    endpoint.connection_rejections += 1
-                limiter.pause_until_us = max(limiter.pause_until_us, self.now_us + pause_us)
+        """Count a failure, and pause until the next trial; pauses grow with the age of an outage."""
+        served_lately = self.now_us - limiter.last_success_us < COLD_RETURN_GAP_US
+        if event.connections_full or (served_lately and event.verdict is Verdict.CONNECT_FAILED):
+            self._record_connection_limit(call, limiter, event.connections_full)
             return
+        refused = event.verdict is Verdict.FULL
+        limit_used_up = refused and self._limit_used_up(event)
+        failure = Failure(
+            reason=f"{event.verdict.value} #{event.id}",
+            refused=refused,
+            limit_used_up=limit_used_up,
+            served_lately=served_lately,
+            failed_elsewhere=not limit_used_up and self._failed_elsewhere(call.endpoint, limiter),
+        )
         # Where most calls fail this is an outage too, even if some are served.
-        if not refused and endpoint.failures.hit_ratio(self.now_us) > OUTAGE_FAILURE_RATIO:
+        if not refused and call.endpoint.failures.hit_ratio(self.now_us) > OUTAGE_FAILURE_RATIO:
             limiter.cold_since_us = self.now_us
-        limit_used_up = (
-            refused
-            and self.large_group
-            and bool(event.limit_per_s)
-            and SHARE_LEFT_FACTOR * (event.limit_share_left or 0.0) < 1
-        )
-        limiter.only_limit_refusals = limit_used_up and (
-            limiter.only_limit_refusals or not limiter.failures_in_row
-        )
-        failed_elsewhere = not limit_used_up and self._failed_elsewhere(endpoint, limiter)
         if refused and self._tells_outage(event.wait_us, limit_used_up or served_lately):
             limiter.is_shut = True
-        if limiter.failures_in_row and sent_us > limiter.last_failure_us and not limit_used_up:
-            self.trial_failures[refused].add(True, self.now_us)
+        self._count_failure(call, limiter, failure)
+        self._pause_after_failure(call.endpoint, limiter, failure)
+
+    def _record_connection_limit(self, call: Call, limiter: LimiterState, is_reported: bool) -> None:
+        """Allow fewer calls at once where an endpoint has no connection left; this counts as no failure.
+
+        That is so if the endpoint says so (``is_reported``), or if other calls are served there.
+        """
+        endpoint = call.endpoint
+        endpoint.connection_cap = min(self._max_connections(endpoint), max(1, call.calls_beside))
+        endpoint.connection_cap_at_us = self.now_us
+        if limiter.last_success_us >= call.sent_us:  # other connections serve meanwhile
+            return
+        pause_us = MIN_TRIAL_GAP_US
+        if is_reported:
+            mean_pause_us = min(
+                MIN_TRIAL_GAP_US * 2.0 ** min(endpoint.connection_rejections, 10), MAX_TRIAL_GAP_US
+            )
+            pause_us = int(mean_pause_us * self.rng.uniform(0.5, 1.5))
+            endpoint.connection_rejections += 1
+        limiter.pause_until_us = max(limiter.pause_until_us, self.now_us + pause_us)
+
+    def _limit_used_up(self, event: Outcome) -> bool:
+        """Whether a refusal reports a limit with little left, which is no sign of an outage.
+
+        However often it comes: a relay of a large group has few successes in between.
+        """
+        share_left = event.limit_share_left or 0.0
+        return self.large_group and bool(event.limit_per_s) and SHARE_LEFT_FACTOR * share_left < 1
+
+    def _count_failure(self, call: Call, limiter: LimiterState, failure: Failure) -> None:
+        """Count a failure in the row; refusals above a used-up limit count as one at most."""
+        is_new = call.sent_us > limiter.last_failure_us
+        if limiter.failures_in_row and is_new and not failure.limit_used_up:
+            self.trial_failures[failure.refused].add(True, self.now_us)
         if not limiter.failures_in_row:
             limiter.failing_since_us = self.now_us
-        if sent_us > limiter.last_failure_us or not limiter.failures_in_row:
-            failures_in_row = (
-                max(1, limiter.failures_in_row) if limit_used_up else limiter.failures_in_row + 1
-            )
-            limiter.failures_in_row, limiter.last_failure_us, limiter.last_failure_was_refusal = (
-                failures_in_row,
-                self.now_us,
-                refused,
-            )
-            if refused:
-                self._lower_allowed_rate(limiter)
-            if limiter.failures_in_row == 3:
-                self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
-        # While most trials fail, this is an outage, and the trials of all relays together must not exceed
-        # what a cold server takes: each relay pauses according to its part. A refusal while other calls fail
-        # belongs to that outage.
-        gap_us = min(MIN_TRIAL_GAP_US * 2.0 ** min(limiter.failures_in_row - 1, 10), MAX_TRIAL_GAP_US)
+            limiter.only_limit_refusals = failure.limit_used_up
+        elif not failure.limit_used_up:
+            limiter.only_limit_refusals = False
+        if not is_new and limiter.failures_in_row:
+            return
+        limiter.failures_in_row = (
+            max(1, limiter.failures_in_row) if failure.limit_used_up else limiter.failures_in_row + 1
+        )
+        limiter.last_failure_us = self.now_us
+        limiter.last_failure_was_refusal = failure.refused
+        if failure.refused:
+            self._lower_allowed_rate(limiter)
+        if limiter.failures_in_row == 3:
+            verdict = failure.reason.partition(" ")[0]
+            self.actions.append(Log(f"{call.endpoint.host} failing: {verdict}, paced"))
+
+    def _pause_after_failure(self, endpoint: Endpoint, limiter: LimiterState, failure: Failure) -> None:
+        """Pause until the next trial.
+
+        While most trials fail, this is an outage, and the trials of all relays together must not exceed what
+        a cold server takes: each relay pauses according to its share. A refusal while other calls fail
+        belongs to that outage.
+        """
         other_failures = any(
             each.cold_since_us >= 0 or (each.failures_in_row and not each.last_failure_was_refusal)
             for each in endpoint.limiters
         )
-        failing_on = (
+        failed_before = limiter.failures_in_row > 1 or failure.failed_elsewhere
+        trial_failures = self.trial_failures[failure.refused and not other_failures]
+        paced = (
             limiter.is_shut
             or limiter.cold_since_us >= 0
-            or ((limiter.failures_in_row > 1 or failed_elsewhere) and not served_lately)
-        )
-        paced = (
-            failing_on
-            or self.trial_failures[refused and not other_failures].hit_ratio(self.now_us)
-            > OUTAGE_FAILURE_RATIO
+            or (failed_before and not failure.served_lately)
+            or trial_failures.hit_ratio(self.now_us) > OUTAGE_FAILURE_RATIO
         )
+        gap_us = min(MIN_TRIAL_GAP_US * 2.0 ** min(limiter.failures_in_row - 1, 10), MAX_TRIAL_GAP_US)
         if paced:
             gap_us = max(gap_us, self._trial_gap_us(endpoint, limiter))
         start_us = max(self.now_us, limiter.told_wait_until_us)
         if limiter.is_shut:  # all relays were told the same end of the wait
-            limiter.pause_until_us = max(limiter.pause_until_us, start_us + int(gap_us * self.rng.random()))
-        elif limit_used_up:
-            limiter.pause_until_us = max(
-                limiter.pause_until_us,
-                start_us + int(1e6 / limiter.allowed_rate * self.rng.uniform(0.3, 1.3)),
-            )
-        elif other_failures or limiter.failures_in_row > 1 or not served_lately:
-            limiter.pause_until_us = max(
-                limiter.pause_until_us, start_us + int(gap_us * self.rng.uniform(0.3, 1.3))
-            )
+            delay_us = gap_us * self.rng.random()
+        elif failure.limit_used_up:
+            delay_us = 1e6 / limiter.allowed_rate * self.rng.uniform(0.3, 1.3)
+        elif other_failures or limiter.failures_in_row > 1 or not failure.served_lately:
+            delay_us = gap_us * self.rng.uniform(0.3, 1.3)
         else:  # spread over time, or else all relays that were told to wait come back at once
-            limiter.pause_until_us = max(
-                limiter.pause_until_us, start_us + int((start_us - self.now_us) * self.rng.random())
-            )
-        if failed_elsewhere and not refused and not served_lately:  # the whole destination is out
-            gap_us = self._trial_gap_us(endpoint, endpoint.rate_limiter)
-            endpoint.rate_limiter.pause_until_us = max(
-                endpoint.rate_limiter.pause_until_us, start_us + int(gap_us * self.rng.uniform(0.3, 1.3))
-            )
+            delay_us = (start_us - self.now_us) * self.rng.random()
+        limiter.pause_until_us = max(limiter.pause_until_us, start_us + int(delay_us))
+        if failure.failed_elsewhere and not failure.refused and not failure.served_lately:
+            self._pause_destination(endpoint, start_us)
         if paced:
-            self._log_outage(OutageEvent.PACED_FAILURE, endpoint, limiter, f"{verdict.value} #{event.id}")
+            self._log_outage(OutageEvent.PACED_FAILURE, endpoint, limiter, failure.reason)
+
+    def _pause_destination(self, endpoint: Endpoint, start_us: int) -> None:
+        """Pause all endpoints of a destination that is out until this relay's next trial."""
+        shared = endpoint.rate_limiter
+        delay_us = self._trial_gap_us(endpoint, shared) * self.rng.uniform(0.3, 1.3)
+        shared.pause_until_us = max(shared.pause_until_us, start_us + int(delay_us))
 
     def _trial_gap_us(self, endpoint: Endpoint, limiter: LimiterState) -> float:
         """The time between trials at which those of all relays together are what a cold server takes."""
--- a/decisions/outages.py
+++ b/decisions/outages.py
@@ -1,7 +1,8 @@
-"""What a relay does in an outage of a destination, as named in the log and the figures."""
+"""Failures of calls as signs of an outage, and what a relay does in one, as log and figures name it."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 
@@ -13,3 +14,14 @@
         "cold_return"  # a success after an outage: calls keep to a share of what a cold server takes
     )
     WARM = "warm"  # the warm-up after an outage is over
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """What the failure of a call shows of its destination."""
+
+    reason: str  # the verdict and the message, for the log
+    refused: bool
+    limit_used_up: bool  # refused above a limit of which little is left, as reported
+    served_lately: bool  # whether another call under the same limiter was served shortly before
+    failed_elsewhere: bool  # whether calls failed at other endpoints too, and none was served since
