Try a shut destination that tells no more wait at the usual distances

Found by reading. The unit test fails without it (shortest pause under 0.3 of the time between trials).

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -838,7 +838,7 @@
         if paced:
             gap_us = max(gap_us, self._trial_gap_us(endpoint, limiter))
         start_us = max(self.now_us, limiter.told_wait_until_us)
-        if limiter.is_shut:  # all relays were told the same end of the wait
+        if limiter.is_shut and start_us > self.now_us:  # all relays were told the same end of the wait
             delay_us = gap_us * self.rng.random()
         elif failure.limit_used_up:
             delay_us = 1e6 / limiter.allowed_rate * self.rng.uniform(0.3, 1.3)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -453,3 +453,22 @@
     assert relay.next_ask_us - relay.now_us < SECOND
     relay.step(2 * SECOND, [api.EndpointUpdate(api.EndpointUpdateKind.FAILED)])
     assert relay.next_ask_us - relay.now_us >= SECOND
+
+
+def test_a_shut_destination_that_tells_no_more_wait_is_tried_no_sooner_than_one_that_fails() -> None:
+    """The whole time between trials is drawn from for a told wait only, as all relays know its end."""
+    gaps_us = []
+    for seed in range(30):
+        relay = DecisionEngine(settings(group_size=40, max_attempts=12), seed)
+        relay.step(0, [endpoint_update(entry("h1"))])
+        for number, wait_us in enumerate((5 * SECOND, 0)):
+            now_us = (1 + number) * 200 * SECOND
+            [send] = sends(relay.step(now_us, [arrival(f"m{number}")]))
+            relay.step(
+                now_us + 1000, [ended(send, api.Verdict.FULL, wait_us=wait_us), api.Withdrawn(send.id)]
+            )
+        limiter = relay.endpoints["h1"].rate_limiter
+        gaps_us.append(
+            (limiter.pause_until_us - relay.now_us) / relay._trial_gap_us(relay.endpoints["h1"], limiter)
+        )
+    assert min(gaps_us) >= 0.3
