--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -54,6 +54,8 @@
     slots: int = 12  # of each relay
     classes: tuple[api.MessageClass, ...] = (SAFE, KEYED)
     kill_us: int = 0  # when all relays are killed; each starts again with its journal (0: never)
+    # Whether a relay counts as aware of the outage also where only its former process had a failed call.
+    aware_across_kills: bool = False
     retries: int = 0  # how often a client hands in a message again that was refused
     # Whether the protocol's wider tolerance for small budgets applies, or that for large ones throughout.
     wide_if_few: bool = False
@@ -231,7 +233,8 @@
         """End a relay's process; the next one starts with the journal."""
         relay = self._relays[number]
         relay.engine, relay.process = None, relay.process + 1
-        self.aware.discard(number)
+        if not self.scenario.aware_across_kills:
+            self.aware.discard(number)
         self._schedule(self.now_us + RESTART_US, self._start, number, relay.process)
 
     def _start(self, number: int, process: int) -> None:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -69,14 +69,21 @@
 
 
 def broken_peaks(
-    outage: str, capacity: float, seeds: Iterable[int], *, kill_us: int = 0, classes: Classes = SHORT_CLASSES
+    outage: str,
+    capacity: float,
+    seeds: Iterable[int],
+    *,
+    kill_us: int = 0,
+    aware_across_kills: bool = False,
+    classes: Classes = SHORT_CLASSES,
 ) -> list[tuple[str, float, int, Peak]]:
     """The windows that break the rule, of 46 relays with two slots, short deadlines and retries."""
     broken = []
     for seed in seeds:
         scenario = Scenario(
             outage, 46, seed, limit_reported=False, capacity=capacity, load=1.1, uneven=0.7, endpoints=2,
-            slots=2, classes=classes, kill_us=kill_us, retries=2, wide_if_few=True,
+            slots=2, classes=classes, kill_us=kill_us, aware_across_kills=aware_across_kills, retries=2,
+            wide_if_few=True,
         )  # fmt: skip
         if (peak := Fleet(scenario).run()).breaks_rule:
             broken.append((outage, capacity, seed, peak))
@@ -109,3 +116,12 @@
     assert not [
         p for outage, capacity in plays for p in broken_peaks(outage, capacity, range(4), kill_us=kill_us)
     ]
+
+
+def test_a_fleet_that_starts_anew_behind_a_return_spares_what_its_former_processes_saw_fail() -> None:
+    """Stricter than a rule that counts what a process itself was told: a kill loses that."""
+    kill_us = BACK_US - 400_000
+    plays = [
+        broken_peaks(o, 5.0, range(4), kill_us=kill_us, aware_across_kills=True) for o in ("down", "told")
+    ]
+    assert plays == [[], []]
