Serve clients in turns of bounded time, so that a flood of small values stops nobody

Cause: ClientConnection._answer_whole_requests answered all that one read of up to 256 KiB had brought, which may be 87,000 values, and copied the rest of the data for each. A probe on one such read told the candidates apart: 0.56 s for parsing with the copies, 0.09 s for parsing alone, 0.05 s for the writes. So the copies are the largest part, but the rest, times the number of peers, would stand still too: nothing counted the work.

Change: a fair queue of the event loop. A reader does one unit of work at a time; when the slice of the iteration is used up, peers wait in line and have a quantum each in turn. A connection that waits is not read. Parsing works on the buffer in place. A peer that sends 32 values in a row that are no requests gets its error lines and is closed. Requests that wait for their turn are answered before a close, before the process exits, and by a process that takes the client over.

--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -34,6 +34,7 @@
 EXIT_AFTER_SIGTERM_S = 3.2  # s after SIGTERM when the process exits; SIGKILL comes no sooner than 3.7 s
 # Iterations of the event loop in which accepted connections are set up and requests on them are answered.
 EVENT_LOOP_TURNS = 5
+ANSWER_TIMEOUT_S = 0.3  # s for answers to requests that have arrived, before the process exits
 SPARE_DESCRIPTORS = 16  # descriptors of a process beside those of clients, calls and idle connections
 COST_LOG_INTERVAL_S = 60.0  # s between log lines on the process's resource usage
 STATE_FILE_DESCRIPTORS = 2  # the journal and the lock
@@ -271,6 +272,10 @@
     if server.listener is not None:
         server.listener.pause()
     await run_ready_callbacks()
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + ANSWER_TIMEOUT_S
+    while server.has_queued_requests and loop.time() < end_s:
+        await asyncio.sleep(0)
 
 
 async def run_ready_callbacks() -> None:
--- a/relay/clients.py
+++ b/relay/clients.py
@@ -14,6 +14,7 @@
 
 from relay import resp
 from relay.driver import ClientMessage, Driver
+from relay.fair_queue import fair_queue
 from relay.listeners import Listener
 from relay.reasons import EndReason, RefusalReason
 
@@ -38,6 +39,11 @@
 ACCEPT_BATCH_SHARE = 0.125
 # No endpoint list names a higher destination: a message for one would be accepted and never find an endpoint.
 MAX_DEST = 65535
+MAX_PARAMETER_BYTES = 4096  # of the list of names and values in a request
+READ_BUFFER_BYTES = 16 * 1024  # read from one connection in one event loop iteration
+MAX_UNREAD_REPLY_BYTES = 4096  # replies that a client has not read, beyond which it is not read either
+UNREAD_REPLY_TIMEOUT_S = 2.5  # a client that goes on for so long without reading its replies is closed
+MAX_OTHER_VALUES = 32  # RESP values in a row that are not requests, after which a connection is closed
 MAX_TIME_LEFT_MS = 24 * 3600 * 1000  # a message with more time left gets this much
 
 
@@ -71,6 +77,8 @@
     _, order_key, message_id, parameter_list, body = args
     if len(body) > MAX_BODY_BYTES:
         raise BadRequestError("the body is too long")
+    if len(parameter_list) > MAX_PARAMETER_BYTES:
+        raise BadRequestError("the list is too long")
     parameters: dict[bytes, bytes] = {}
     for pair in parameter_list.split(b","):
         name, separator, value = pair.partition(b"=")
@@ -92,71 +100,148 @@
     return message, body
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Connection of one client, whose requests are answered in order, with one reply each.
 
-    A connection is closed in two steps: the relay closes its write side and then lingers, that is, reads and
-    drops what the peer still sends, until the peer closes, stops sending or takes too long.
+    Requests that have arrived are answered when the connection has its turn in the fair queue; until then it
+    is not read any further. A connection is closed in two steps: the relay closes its write side and then
+    lingers, that is, reads and drops what the peer still sends, until the peer closes, stops sending or takes
+    too long.
     """
 
     def __init__(self, server: Server, data: bytes = b"", request_due_s: float | None = None) -> None:
         self._server = server
-        self._buffer = bytearray(data)  # received after the last complete request
+        self._queue = fair_queue()
+        self._buffer = bytearray(data)  # received after the last request that was answered
         self._min_request_bytes = 0  # the buffer cannot hold a complete request before it has this size
         self._counted_bytes = 0  # this connection's part of the server's unfinished_bytes
         # Event loop time at which the first request must be complete. None: the usual timeout applies.
         # math.inf: another process has already served this client, and no request is being received.
         self._request_due_s = request_due_s
         self._transport: asyncio.Transport | None = None
-        self._timer: asyncio.TimerHandle | None = None  # runs while a request is awaited, and while lingering
+        # Runs while a request is awaited, while replies are not read, and while lingering.
+        self._timer: asyncio.TimerHandle | None = None
+        self.has_queued_requests = False  # requests that have arrived may wait for their turn
+        self._write_paused = False  # the client does not read its replies
+        self._other_values = 0  # RESP values since the last request
         self.close_requested = False  # to be closed as soon as no request is being received
         self._close_scheduled = False  # closed within a few iterations unless a request begins until then
         self._write_closed = False  # the connection lingers: received data is dropped
+        self._more_unread = False  # whether the system may hold more data than the last read took
         self._received_since_check = False  # whether the peer sent data since the last check while lingering
         self._linger_deadline_s = math.inf  # event loop time at which lingering ends in any case
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(MAX_UNREAD_REPLY_BYTES)
         if self._request_due_s != math.inf:
             self._start_request_timer()
         self._server.add_connection(self)
+        if self._buffer:  # another process has read it
+            self._answer_requests()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._cancel_timer()
+        self._buffer.clear()
         self._update_unfinished_bytes(0)
         self._server.remove_connection(self)
 
     def pause_writing(self) -> None:
-        """Stop reading from a client that does not read its replies, so that buffers stay bounded."""
-        if self._transport is not None and not self._transport.is_closing() and not self._write_closed:
-            self._transport.pause_reading()
+        """Stop serving a client that does not read its replies, so that buffers stay bounded."""
+        self._write_paused = True
+        if not self._write_closed:
+            self._cancel_timer()
+            self._timer = asyncio.get_running_loop().call_later(
+                UNREAD_REPLY_TIMEOUT_S, self._close_writing, EndReason.REPLIES_NOT_READ
+            )
+            self._update_reading()
 
     def resume_writing(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._write_paused = False
+        if not self._write_closed:
+            self._cancel_timer()
+            self._answer_requests()
 
-    def data_received(self, data: bytes) -> None:
-        """Answer every complete request; a protocol error or an exception closes only this connection."""
-        assert self._transport is not None
+    def _update_reading(self) -> None:
+        """Read only while nothing that has arrived waits, so that a client's buffer stays bounded."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if (self.has_queued_requests or self._write_paused) and not self._write_closed:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next bytes are read; all connections share it."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._more_unread = nbytes == len(self._server.read_buffer)
+        self.data_received(self._server.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Answer every complete request, at once or when the connection has its turn."""
         if self._write_closed:
             self._received_since_check = True
             return
         self._server.clients.move_to_end(self)
+        self._buffer += data
+        if len(self._buffer) < self._min_request_bytes:
+            self._answer_next()  # there is no complete request, so this takes no turn
+        elif not self.has_queued_requests:
+            self._answer_requests()
+
+    def _answer_requests(self) -> None:
+        """Answer the complete requests in the buffer, and look after what is left once they are answered."""
+        self.has_queued_requests = True
+        self._queue.run(self._answer_next)
+        if self.has_queued_requests:
+            self._update_reading()
+
+    def _answer_next(self) -> bool:
+        """Answer one request; return whether there may be another one.
+
+        A protocol error or an exception closes only this connection.
+        """
         try:
-            self._handle_data(data)
+            if self._answer_complete_request():
+                return True
+            self.has_queued_requests = False
+            self._check_unfinished_request()
         except resp.ProtocolError as error:
             LOG.info("clients: connection closed after a protocol error: %s", error)
             self._close_writing(EndReason.BROKEN_REQUEST, b"-ERR Protocol error\r\n")
         except Exception:
             LOG.exception("clients: connection closed after an internal error")
             self._close_writing(EndReason.INTERNAL_ERROR, b"-ERR internal error\r\n")
+        self.has_queued_requests = False
+        self._update_reading()
+        return False
 
-    def _handle_data(self, data: bytes) -> None:
+    def _answer_complete_request(self) -> bool:
+        """Answer the request at the start of the buffer; return False if it is not complete."""
         assert self._transport is not None
-        self._buffer += data
-        if len(self._buffer) >= self._min_request_bytes:
-            self._answer_whole_requests(bytes(self._buffer))
+        if self._write_paused or not self._buffer or len(self._buffer) < self._min_request_bytes:
+            return False
+        if (found := resp.parse_request(self._buffer, MAX_REQUEST_BYTES)) is None:
+            self._min_request_bytes = resp.min_request_size(self._buffer)
+            return False
+        words, end = found
+        del self._buffer[:end]
+        self._min_request_bytes = 0
+        self._cancel_timer()
+        self._transport.write(self._server.answer(words))
+        self._other_values = self._other_values + 1 if words is None else 0
+        if self._other_values >= MAX_OTHER_VALUES:
+            self._close_writing(EndReason.NO_REQUESTS)
+        return not self._write_closed
+
+    def _check_unfinished_request(self) -> None:
+        """Limit the size of an unfinished request and the time it takes; close if a close was requested."""
+        if self._write_closed or self._write_paused:
+            return
         if len(self._buffer) > MAX_REQUEST_BYTES:
             raise resp.ProtocolError("a request is too long")
         self._update_unfinished_bytes(len(self._buffer))
@@ -169,22 +254,18 @@
         if self.close_requested and not self._buffer:
             self._schedule_close()
 
+    def _answer_buffered(self) -> bool:
+        """Answer all complete requests in the buffer before a close; return whether there were any."""
+        found_any = False
+        while self.has_queued_requests and self._answer_next():
+            found_any = True
+        return found_any
+
     def _update_unfinished_bytes(self, size: int) -> None:
         """Correct the server's total for the bytes of an unfinished request that are buffered here now."""
         self._server.unfinished_bytes += size - self._counted_bytes
         self._counted_bytes = size
 
-    def _answer_whole_requests(self, data: bytes) -> None:
-        """Answer the complete requests at the start of the data, and buffer what follows them."""
-        assert self._transport is not None
-        while data and (found := resp.parse_request(data, MAX_REQUEST_BYTES)) is not None:
-            words, end = found
-            data = data[end:]
-            self._cancel_timer()
-            self._transport.write(self._server.answer(words))
-        self._buffer = bytearray(data)
-        self._min_request_bytes = resp.min_request_size(data) if data else 0
-
     def _start_request_timer(self) -> None:
         """Limit the wait for a complete request: silent peers and partial requests occupy descriptors."""
         loop = asyncio.get_running_loop()
@@ -209,6 +290,8 @@
         return state, transport.get_extra_info("socket").fileno()
 
     def _request_timed_out(self) -> None:
+        if self._answer_buffered() or self._write_closed:  # it arrived in time and waited for its turn
+            return
         # If no request has begun, the client may be sending one at this moment and would take an error line
         # for the reply to it.
         line = b"-ERR no whole request in time\r\n" if self._buffer else b""
@@ -229,15 +312,15 @@
         assert self._transport is not None
         loop = asyncio.get_running_loop()
         self._cancel_timer()
-        self._write_closed = True
-        self._buffer = bytearray()
+        self._write_closed, self.has_queued_requests = True, False
+        self._buffer.clear()
         self._received_since_check = False
         self._update_unfinished_bytes(0)
         self._server.move_to_lingering(self, reason)
         self._transport.write(line)
         with suppress(OSError):  # the peer has reset the connection, and the loop has not reported it yet
             self._transport.write_eof()
-        self._transport.resume_reading()
+        self._update_reading()
         self._linger_deadline_s = loop.time() + MAX_LINGER_S
         self._timer = loop.call_later(LINGER_TIMEOUT_S, self._check_linger)
 
@@ -269,7 +352,11 @@
             return
         self._close_scheduled = False
         closed = self._transport is None or self._transport.is_closing() or self._write_closed
-        if not closed and not self._buffer:  # a request that has begun meanwhile is answered before the close
+        if closed or self._buffer:  # a request that has begun meanwhile is answered before the close
+            return
+        if self._more_unread:
+            self._schedule_close()
+        else:
             self._close_writing(EndReason.SHUTDOWN)
 
     def close_between_requests(self) -> None:
@@ -280,6 +367,7 @@
 
     def close_for_descriptor(self) -> None:
         """Close now to free the descriptor, and refuse a request that is being received."""
+        self._answer_buffered()
         if not self._write_closed:
             self._close_writing(EndReason.DESCRIPTOR_WANTED, self._server.busy_reply if self._buffer else b"")
 
@@ -296,6 +384,8 @@
         self.clients: OrderedDict[ClientConnection, None] = OrderedDict()  # least recently active first
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()  # write side closed, oldest first
         self.ended_counts: Counter[EndReason] = Counter()  # connections that the relay closed
+        # Shared by all connections: what is read into it is taken over before the next read.
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.listener: Listener | None = None
         self.shutting_down = False
 
@@ -352,6 +442,11 @@
         self.clients.pop(client, None)
         self.lingering.pop(client, None)
 
+    @property
+    def has_queued_requests(self) -> bool:
+        """Whether requests that have arrived wait for their turn to be answered."""
+        return any(client.has_queued_requests for client in self.clients)
+
     @property
     def connection_count(self) -> int:
         """Number of open connections with clients, lingering ones included."""
--- a/relay/listeners.py
+++ b/relay/listeners.py
@@ -56,7 +56,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
         free_descriptor: Callable[[], None] = lambda: None,
         accepts_per_iteration: int = MAX_ACCEPTS_PER_ITERATION,
     ) -> None:
--- a/relay/reasons.py
+++ b/relay/reasons.py
@@ -9,6 +9,8 @@
     """Why the relay closed a client's connection."""
 
     BROKEN_REQUEST = "broken_request"
+    NO_REQUESTS = "no_requests"  # it sent many RESP values in a row that are not requests
+    REPLIES_NOT_READ = "replies_not_read"
     INTERNAL_ERROR = "internal_error"
     UNFINISHED_BYTES = "unfinished_bytes"  # unfinished requests of all clients take too much memory
     NO_REQUEST_IN_TIME = "no_request_in_time"
--- a/relay/resp.py
+++ b/relay/resp.py
@@ -18,7 +18,7 @@
     """The bytes are not RESP2, so where the next request starts is unknown."""
 
 
-def read_line(data: bytes, start: int) -> tuple[bytes, int] | None:
+def read_line(data: bytes | bytearray, start: int) -> tuple[bytes, int] | None:
     """Return the line at ``start`` and the position behind it, or None if it is not complete yet.
 
     Raises ``ProtocolError`` for a line that is too long.
@@ -28,7 +28,7 @@
         if len(data) - start >= MAX_LINE_BYTES:
             raise ProtocolError("a line is too long")
         return None
-    return data[start:end], end + len(CRLF)
+    return bytes(data[start:end]), end + len(CRLF)
 
 
 def parse_length(line: bytes) -> int:
@@ -41,7 +41,7 @@
     return int(line[1:])
 
 
-def parse_request(data: bytes, max_bulk_bytes: int) -> tuple[list[bytes] | None, int] | None:
+def parse_request(data: bytes | bytearray, max_bulk_bytes: int) -> tuple[list[bytes] | None, int] | None:
     """Return the words of the first request and the position behind it, or None if it is not complete yet.
 
     The words are None if the value is valid RESP2 but not an array of bulk strings. Raises ``ProtocolError``
@@ -77,12 +77,12 @@
                 raise ProtocolError("a bulk string does not end where its length says")
             if len(data) < end + len(CRLF):
                 return None
-            words.append(data[at:end])
+            words.append(bytes(data[at:end]))
             at = end + len(CRLF)
     return (words if is_request and words else None), at
 
 
-def min_request_size(data: bytes) -> int:
+def min_request_size(data: bytes | bytearray) -> int:
     """Return a size in bytes below which the first request, which begins with ``data``, cannot be complete.
 
     A peer may send a large value byte by byte. Parsing the request again with every byte would take time that
--- /dev/null
+++ b/tests/test_client_floods.py
@@ -0,0 +1,208 @@
+"""Clients that send more than they are entitled to: they neither hold up the rest nor fill the memory."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from relay import clients, fair_queue
+from relay.driver import Driver
+from relay.reasons import EndReason
+from standins.scripted import MAX_WAIT_S, encode_command, with_timeout
+
+PING = encode_command(b"PING")
+PONG = b"+PONG\r\n"
+HELD_UP_S = 0.15  # the longest time for which a relay may be held up
+FLOODERS = 6
+FLOOD_BYTES = 1_000_000
+
+
+@pytest.fixture
+def server() -> clients.Server:
+    """A server whose driver only tells the time: no request of these tests is valid."""
+    return clients.Server(cast(Driver, SimpleNamespace(clock=lambda: 0)), 100, 32_000_000)
+
+
+async def connect(server: clients.Server) -> tuple[clients.ClientConnection, socket.socket]:
+    """Return a client as the server holds it, and its peer's blocking socket."""
+    client = clients.ClientConnection(server)
+    return client, await connect_peer(client)
+
+
+async def connect_peer(client: clients.ClientConnection) -> socket.socket:
+    """Connect a client as the server holds it to a peer, and return the peer's socket."""
+    left, right = socket.socketpair()
+    left.setblocking(False)
+    right.settimeout(MAX_WAIT_S)
+    await asyncio.get_running_loop().connect_accepted_socket(lambda: client, left)
+    return right
+
+
+def send_and_read(peer: socket.socket, data: bytes, reads: bool = True) -> list[threading.Thread]:
+    """Start threads that send all the data, and that read what comes back."""
+
+    def send() -> None:
+        with suppress(OSError):
+            peer.sendall(data)
+            peer.shutdown(socket.SHUT_WR)
+
+    def read() -> None:
+        with suppress(OSError):
+            while reads and peer.recv(1 << 20):
+                pass
+
+    threads = [threading.Thread(target=target, daemon=True) for target in (send, read)]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+@pytest.fixture
+async def held_up_s() -> AsyncIterator[list[float]]:
+    """Collect the processor time of each iteration of the loop; other processes do not count."""
+    times_s = [0.0]
+
+    async def watch() -> None:
+        while True:
+            begun_s = time.thread_time()
+            await asyncio.sleep(0)
+            times_s.append(time.thread_time() - begun_s)
+
+    watching = asyncio.create_task(watch())
+    yield times_s
+    watching.cancel()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"+\r\n", b"*0\r\n", PING, encode_command(b"x"), encode_command(b"ENQUEUE", b"", b"", b"", b"")],
+    ids=["simple strings", "empty arrays", "pings", "unknown commands", "incomplete messages"],
+)
+async def test_many_small_values_of_some_peers_hold_up_nobody_else(
+    server: clients.Server, held_up_s: list[float], value: bytes
+) -> None:
+    """Guards against answering all values that one read brought before anything else runs."""
+    _, other = await connect(server)
+    flooders = [await connect(server) for _ in range(FLOODERS)]
+    threads = [
+        thread for _, peer in flooders for thread in send_and_read(peer, value * (FLOOD_BYTES // len(value)))
+    ]
+    for _ in range(20):
+        await asyncio.to_thread(other.sendall, PING)
+        assert await asyncio.to_thread(other.recv, 100) == PONG
+    for client in [*server.clients, *server.lingering]:
+        client.abort()
+    other.close()
+    for thread in threads:
+        await asyncio.to_thread(thread.join)
+    assert max(held_up_s) < HELD_UP_S
+
+
+async def test_a_client_waits_for_one_quantum_of_each_other_at_most(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a turn that lasts until a peer has nothing left, or that skips those behind it."""
+    monkeypatch.setattr(fair_queue, "QUANTUM_S", 0.0)
+    monkeypatch.setattr(fair_queue, "SLICE_S", 0.0)
+    connections = [await connect(server) for _ in range(20)]
+    for client, _ in connections:
+        client.data_received(PING * 100)
+    for _ in range(3 * len(connections)):
+        await asyncio.sleep(0)
+    answers = [peer.recv(1000, socket.MSG_DONTWAIT) for _, peer in connections]
+    assert all(1 <= len(answer) // len(PONG) <= 4 for answer in answers), "each has had its share"
+    for client, peer in connections:
+        client.abort()
+        peer.close()
+
+
+async def test_values_that_are_no_requests_end_their_connection(server: clients.Server) -> None:
+    """Guards against error lines without end for a peer that never sends a request."""
+    client, peer = await connect(server)
+    client.data_received(b"+\r\n" * 1000)
+    answer = bytearray()
+    while data := await asyncio.to_thread(peer.recv, 1 << 20):
+        answer += data
+    assert answer.count(b"-ERR") == clients.MAX_OTHER_VALUES
+    assert server.ended_counts == {EndReason.NO_REQUESTS: 1}
+    peer.close()
+
+
+async def test_replies_that_are_not_read_stop_their_client_and_end_its_connection(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against replies that pile up in the memory for peers that only send."""
+    monkeypatch.setattr(clients, "UNREAD_REPLY_TIMEOUT_S", 0.1)
+    client, peer = await connect(server)
+    [sender, _] = send_and_read(peer, PING * 1_000_000, reads=False)
+    most_bytes = 0
+
+    async def until_ended() -> None:
+        nonlocal most_bytes
+        while server.connection_count:
+            if client._transport is not None:
+                most_bytes = max(most_bytes, client._transport.get_write_buffer_size())
+            await asyncio.sleep(0.001)
+
+    await with_timeout(until_ended())
+    await asyncio.to_thread(sender.join)
+    peer.close()
+    assert most_bytes <= clients.MAX_UNREAD_REPLY_BYTES + len(PONG)
+    assert server.ended_counts == {EndReason.REPLIES_NOT_READ: 1}
+
+
+@pytest.fixture
+def blocked_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let nobody have a turn: what has arrived waits in line."""
+    monkeypatch.setattr(fair_queue.FairQueue, "run", lambda _queue, _work: None)
+
+
+@pytest.mark.usefixtures("blocked_line")
+@pytest.mark.parametrize("how", ["descriptor", "timeout"])
+async def test_requests_that_wait_for_their_turn_are_answered_before_a_close(
+    server: clients.Server, how: str
+) -> None:
+    """Guards against closing a connection over a request that was read and not answered, which loses it."""
+    client, peer = await connect(server)
+    client.data_received(PING * 3)
+    assert server.has_queued_requests
+    client.close_for_descriptor() if how == "descriptor" else client._request_timed_out()
+    assert await asyncio.to_thread(peer.recv, 1000) == PONG * 3
+    if how == "descriptor":
+        assert await asyncio.to_thread(peer.recv, 1) == b""
+    client.abort()
+    peer.close()
+
+
+async def test_requests_that_another_process_has_read_are_answered(server: clients.Server) -> None:
+    """Guards against requests that wait for their turn during a handover and are then forgotten."""
+    client = clients.ClientConnection(server, PING * 2 + PING[:5], float("inf"))
+    peer = await connect_peer(client)
+    assert await asyncio.to_thread(peer.recv, 1000) == PONG * 2
+    client.abort()
+    peer.close()
+
+
+@pytest.mark.parametrize("more", [0, 1], ids=["whole buffers", "and a part"])
+async def test_many_requests_that_have_arrived_are_answered_before_a_shutdown_closes(
+    server: clients.Server, more: int
+) -> None:
+    """Guards against closing after a few reads, each of which takes only a part of what has arrived."""
+    client, peer = await connect(server)
+    count = 3 * clients.READ_BUFFER_BYTES // len(PING) + more
+    peer.sendall(PING * count)
+    server.close_clients()
+    received = bytearray()
+    while data := await asyncio.to_thread(peer.recv, 1 << 20):
+        received += data
+    assert received == PONG * count
+    client.abort()
+    peer.close()
