Reset a repeat that is not being answered when its key's window ends

Cause: EndpointCalls._on_window_end let a call stand once its last byte was handed to the kernel, and took that for the moment at which the endpoint begins. The record of the case tells the candidates apart: the relay sent the repeats 1.9 s after the first call, inside the window, and they reached the endpoint 6 ms after the end of the cut. So neither the decision nor the write was late; the bytes were held back, and the call was still open.

Change: at the end of the window a fully written call of whose answer no byte has arrived is reset, so that the system drops what it holds back, and ends as a time-out. The first byte of an answer shows that the request has arrived. The end of the window also binds a call that another process has taken over, and a request that carries a message which was cancelled in the meantime.

--- a/decisions/interface.py
+++ b/decisions/interface.py
@@ -281,7 +281,8 @@
 class Send:
     """Call an endpoint with a message and a time-out of ``timeout_us``.
 
-    The call must not begin later than ``latest_begin_us`` from now (0: no such bound).
+    The call must not begin later than ``latest_begin_us`` from now (0: no such bound). One that the endpoint
+    has not begun to answer by then may be held back by the network, and ends as a time-out.
     """
 
     id: str
--- a/relay/calls.py
+++ b/relay/calls.py
@@ -24,7 +24,7 @@
     body: bytes
     limit_us: int  # how long this attempt may take
     time_left_us: int  # until the message's deadline
-    # Monotonic time by which the last byte of the request has to be sent: the end of its key's window.
+    # Monotonic time by which the endpoint must have the whole request: the end of its key's window.
     send_by_s: float = math.inf
     overdue: bool = False  # whether limit_us has passed
     settled: bool = False  # whether the outcome has been reported
@@ -93,6 +93,14 @@
         """The parts that have no outcome yet."""
         return [part for part in self.parts if not part.settled]
 
+    @property
+    def window_end_s(self) -> float:
+        """Monotonic time after which the first of its messages may no longer begin; ``math.inf`` for none.
+
+        A message that was cancelled in the meantime is still in the request, and would begin with it.
+        """
+        return min((part.send_by_s for part in self.request_parts or self.open_parts), default=math.inf)
+
     @property
     def attempts_text(self) -> str:
         """The message ids with the numbers of their attempts, for the log."""
--- a/relay/endpoint_calls.py
+++ b/relay/endpoint_calls.py
@@ -184,8 +184,7 @@
     def _start(self, call: Call, exchange: Callable[[Call], Awaitable[bool]], started_s: float) -> None:
         loop = self._loop
         self.calls.add(call)
-        if not call.fully_written:
-            self._schedule_window_end(call)
+        self._schedule_window_end(call)
         for part in call.open_parts:
             if part.overdue:
                 deadline_s = started_s + max(part.limit_us, part.time_left_us) / 1e6
@@ -324,18 +323,24 @@
 
     def _schedule_window_end(self, call: Call) -> None:
         """Set the timer for the moment at which the first of the call's messages may no longer begin."""
-        end_s = min((part.send_by_s for part in call.open_parts), default=math.inf)
+        end_s = call.window_end_s
         call.window_timer = self._loop.call_at(end_s, self._on_window_end, call) if end_s < math.inf else None
 
     def _on_window_end(self, call: Call) -> None:
-        """Settle what may no longer begin as not sent, if the last byte of the request is not sent yet.
+        """Settle what may no longer begin as not sent, or reset a call that may not have arrived.
 
         Before the request is fixed only the affected parts are left out. After that all parts are settled and
-        the call ends: if the request were completed, the affected messages would run too.
+        the call ends: if the request were completed, the affected messages would run too. A request that is
+        written in full may still be held back by the network, and would begin when that delivers it. Only
+        the first byte of an answer shows that it has arrived.
         """
+        now_s = self._loop.time()
         if call.fully_written:
+            if call.window_end_s > now_s:  # that of a message which the request does not carry is over
+                self._schedule_window_end(call)
+            else:
+                self._after_pending_answer(call, self._reset_unless_answered, call)
             return
-        now_s = self._loop.time()
         for part in call.open_parts:
             if call.request_fixed or part.send_by_s <= now_s:
                 self._settle(call, part, PartOutcome(Verdict.NOT_SENT))
@@ -344,6 +349,15 @@
         else:
             self._end_call(call)
 
+    def _reset_unless_answered(self, call: Call) -> None:
+        """Give up a call of whose answer no byte has arrived by the end of a key's window."""
+        if call.connection is not None and not call.connection.received and call.open_parts:
+            LOG.info(
+                "attempt: %s at %s is reset at the end of a window after %d ms",
+                call.attempts_text, call.host, call.age_ms,
+            )  # fmt: skip
+            self._time_out_call(call)
+
     def _on_deadline(self, call: Call) -> None:
         """Handle the deadline of one of the call's messages."""
         self._after_pending_answer(call, self._time_out_call, call)
--- a/tests/test_endpoint_calls.py
+++ b/tests/test_endpoint_calls.py
@@ -33,9 +33,14 @@
     def __init__(self, port: int, connect_timeout_us: int = 10_000_000) -> None:
         self.outcomes: dict[str, PartOutcome] = {}
         self.outcome_added = asyncio.Event()
-        self.endpoint_calls = EndpointCalls([KIND], 15_000_000, connect_timeout_us, 10, self._settled)
+        self._connect_timeout_us = connect_timeout_us
+        self.endpoint_calls = self.new_endpoint_calls()
         self.set_listing(port)
 
+    def new_endpoint_calls(self) -> EndpointCalls:
+        """Return those of a process that has not sent anything."""
+        return EndpointCalls([KIND], 15_000_000, self._connect_timeout_us, 10, self._settled)
+
     def set_listing(self, port: int, listing: Listing = Listing.READY) -> None:
         """List the endpoint at a port of 127.0.0.1."""
         entry = Entry("h1", 1, "a", "banks", listing)
@@ -820,6 +825,57 @@
         peer.close()
 
 
+@asynccontextmanager
+async def accepted_call(
+    *refs: str, send_by_s: dict[str, float]
+) -> AsyncIterator[tuple[Calls, Call, socket.socket]]:
+    """Yield a call whose request has arrived, and the endpoint's side of its connection."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        sock.setblocking(False)
+        calls = Calls(sock.getsockname()[1])
+        call = calls.send(*refs, send_by_s=send_by_s)
+        peer, _ = await with_timeout(loop.sock_accept(sock))
+        assert refs[-1].encode() in await with_timeout(loop.sock_recv(peer, 4096))
+        yield calls, call, peer
+        peer.close()
+
+
+@pytest.mark.parametrize("how", ["sent", "taken over", "beside another", "cancelled beside another"])
+async def test_a_call_without_a_byte_of_its_answer_is_reset_at_the_end_of_its_window(how: str) -> None:
+    """Guards against a request that a cut holds back in the system: it would run after the window."""
+    window_end_s = time.monotonic() + 0.3
+    refs = ["m1", "m2"] if "another" in how else ["m1"]
+    async with accepted_call(*refs, send_by_s={"m1": window_end_s}) as (calls, call, peer):
+        if how == "taken over":
+            given, descriptors = calls.endpoint_calls.hand_over(0)
+            sockets = [socket.socket(fileno=os.dup(descriptor)) for descriptor in descriptors]
+            assert call.connection is not None
+            os.close(call.connection.sock.detach())  # the first process ends
+            calls.endpoint_calls = calls.new_endpoint_calls()
+            calls.endpoint_calls.take_over(pickle.loads(pickle.dumps(given)), iter(sockets))
+        if how == "cancelled beside another":
+            calls.endpoint_calls.cancel("m1", 0)
+        outcomes = [await calls.outcome(ref) for ref in refs]
+        assert window_end_s <= time.monotonic() < window_end_s + 1.0
+        assert [outcome.verdict.never_ran for outcome in outcomes] == [False] * len(refs)
+        assert outcomes[-1].verdict is Verdict.TIMEOUT
+        with pytest.raises(ConnectionResetError):
+            await with_timeout(asyncio.get_running_loop().sock_recv(peer, 4096))
+
+
+async def test_a_call_that_the_endpoint_answers_goes_on_past_the_end_of_its_window() -> None:
+    """The first byte of an answer shows that the request has arrived, so nothing of it can begin later."""
+    window_end_s = time.monotonic() + 0.3
+    async with accepted_call("m1", send_by_s={"m1": window_end_s}) as (calls, _call, peer):
+        peer.send(b"H")
+        while time.monotonic() < window_end_s + 0.1:
+            await asyncio.sleep(0.01)
+        assert not calls.outcomes
+        peer.send(b"TTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assert (await calls.outcome("m1")).verdict is Verdict.OK
+
+
 async def test_messages_of_one_call_are_told_as_called_off_once_it_is_closed() -> None:
     """Right after a handover, with part of the answer read: ended one by one, one would be sent too early."""
     host = await serving(no_answer)
