Have the system reset the calls of a process that is killed

Change: connections to endpoints are set to be reset when the last process that holds them ends, and go back to the usual close where the relay closes them itself. A process that takes them over holds them too.

Measured: the new test fails on the code before (the peer sees no reset). Not tried: a real cut with a kill.

--- a/relay/endpoint_calls.py
+++ b/relay/endpoint_calls.py
@@ -521,11 +521,16 @@
             raise ConnectionError("the host is no longer listed")
         self.connection_counts["opened"] += 1
         try:
-            return await asyncio.wait_for(Connection.open(listed.address), self._connect_timeout_s)
+            return await self._open(listed.address)
         except OSError as error:
             if error.errno not in RESOURCE_SHORTAGE_ERRNOS or not self._idle_pool.close_oldest():
                 raise
-        return await asyncio.wait_for(Connection.open(listed.address), self._connect_timeout_s)
+        return await self._open(listed.address)
+
+    async def _open(self, address: Address) -> Connection:
+        connection = await asyncio.wait_for(Connection.open(address), self._connect_timeout_s)
+        connection.reset_if_killed()
+        return connection
 
     def _keep_connection(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call if it can be reused; return whether it is kept."""
--- a/relay/http.py
+++ b/relay/http.py
@@ -31,6 +31,7 @@
     errno.ENOMEM,
 )
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: enabled, with a linger time of 0 s
+USUAL_CLOSE = struct.pack("ii", 0, 0)  # struct linger: disabled
 ANSWER_REST_TIMEOUT_S = 0.1  # for the rest of an answer whose head already decides the outcome
 
 
@@ -291,8 +292,24 @@
             return False
         return False
 
+    def reset_if_killed(self) -> None:
+        """Have the system reset the connection where the process ends without closing it.
+
+        Otherwise a call that a network cut holds back would arrive although the process is gone, even after
+        the next process has given it up.
+        """
+        self._set_linger(RESET_ON_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        with suppress(OSError):  # already closed
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def close(self) -> None:
         """Close the connection, and with it any call in progress on it; may be called again."""
+        self._set_linger(USUAL_CLOSE)
+        self._close()
+
+    def _close(self) -> None:
         self._unwatch()
         self._stop_writing()
         if self.shared_with_successor:
@@ -306,9 +323,8 @@
         After a network cut it would otherwise retransmit them, and the call would arrive long after it was
         given up here.
         """
-        with suppress(OSError):  # already closed
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.close()
+        self._set_linger(RESET_ON_CLOSE)
+        self._close()
 
 
 CONNECTION_ERRORS = (OSError, h11.RemoteProtocolError)
--- a/tests/test_endpoint_calls.py
+++ b/tests/test_endpoint_calls.py
@@ -864,6 +864,23 @@
             await with_timeout(asyncio.get_running_loop().sock_recv(peer, 4096))
 
 
+async def test_a_call_of_a_process_that_is_killed_is_reset() -> None:
+    """Guards against a call that a cut holds back and that arrives although its process has ended."""
+    async with accepted_call("m1", send_by_s={}) as (_calls, call, peer):
+        assert call.connection is not None
+        os.close(call.connection.sock.detach())  # as the system does it for a killed process
+        with pytest.raises(ConnectionResetError):
+            await with_timeout(asyncio.get_running_loop().sock_recv(peer, 4096))
+
+
+async def test_an_idle_connection_is_closed_in_the_usual_way() -> None:
+    async with accepted_call("m1", send_by_s={}) as (calls, _call, peer):
+        peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assert (await calls.outcome("m1")).verdict is Verdict.OK
+        calls.endpoint_calls.close()
+        assert await with_timeout(asyncio.get_running_loop().sock_recv(peer, 4096)) == b""
+
+
 async def test_a_call_that_the_endpoint_answers_goes_on_past_the_end_of_its_window() -> None:
     """The first byte of an answer shows that the request has arrived, so nothing of it can begin later."""
     window_end_s = time.monotonic() + 0.3
