Process answers in turns of bounded time, and give up bodies in very many pieces

Cause: Connection.read_body and skip_rest went through all the h11 events that one read of 64 KiB had brought before anything else ran: 11,000 chunks of one byte, 13.6 us each by a probe, 0.15 s for a read. The bound of 64 KiB counts bytes of the body, so one such answer cost 0.55 s, after its message was settled and its slot free for the next. Interim answers (12.9 us each, 4,096 in a read) had no bound at all; a head of 60 KB with short headers took 44 ms in one go. Ruled out: time in the engine's steps and in parsing a batch's body (5 ms).

Change: each event of an answer is processed when its connection has its turn in the fair queue. A read takes 8 KiB, a head is at most 8 KiB, interim answers at most 64. The body of a batch may come in single bytes. A timer that finds an answer unprocessed has it processed at once, as before.

--- a/relay/answers.py
+++ b/relay/answers.py
@@ -12,6 +12,7 @@
 
 LOG = logging.getLogger(__name__)
 MAX_ANSWER_BYTES = 64 * 1024  # body of an answer
+MAX_RESULT_LINE_BYTES = 160  # for one message in a batch's answer: its id, a word and the line's end
 BATCH_VERDICTS = {  # by the result word that a batch's answer gives for a message
     "delivered": Verdict.OK,
     "failed": Verdict.ERROR,
--- a/relay/discovery.py
+++ b/relay/discovery.py
@@ -32,6 +32,7 @@
 # For the answer to a post of notices, which the platform gives at once. It doubles with each failure.
 FIRST_POST_TIMEOUT_S = 0.25
 MAX_POST_TIMEOUT_S = 1.0
+MAX_POST_ANSWER_BYTES = 64 * 1024
 NOTICE_WORKERS = 3  # concurrent posts, so that one that hangs does not delay the others
 MAX_NOTICES_PER_POST = 64
 # Before a failed post is repeated. It doubles with each failure. The first time-out and the first delay
@@ -303,7 +304,7 @@
                 body = b"".join(notice.encode() for notice in batch)
                 await connection.send(connection.build_request("POST", NOTICES_PATH, [], body))
                 status = (await connection.read_response()).status_code
-                await connection.read_body(DEFAULT_MAX_LINE_BYTES)
+                await connection.read_body(MAX_POST_ANSWER_BYTES)
             if connection.prepare_reuse():
                 return connection, status
         except (*CONNECTION_ERRORS, TimeoutError) as error:
--- a/relay/endpoint_calls.py
+++ b/relay/endpoint_calls.py
@@ -22,6 +22,7 @@
 from relay.answers import (
     BATCH_VERDICTS,
     MAX_ANSWER_BYTES,
+    MAX_RESULT_LINE_BYTES,
     STATUS_DELIVERED,
     STATUS_OVER,
     outcome_without_answer,
@@ -35,6 +36,7 @@
 from relay.http import (
     ANSWER_REST_TIMEOUT_S,
     CONNECTION_ERRORS,
+    MAX_BODY_PARTS,
     RESOURCE_SHORTAGE_ERRNOS,
     Address,
     Connection,
@@ -449,7 +451,9 @@
             if len(self._waits_until_s) > MAX_ROUTE_WAITS:
                 self._waits_until_s = self.active_waits
         if len(parts) > 1 and answer.status_code == STATUS_DELIVERED:
-            self._settle_batch(call, parts, await connection.read_body(MAX_ANSWER_BYTES), wait_us, report)
+            max_parts = MAX_BODY_PARTS + MAX_RESULT_LINE_BYTES * len(parts)  # each byte may come by itself
+            body = await connection.read_body(MAX_ANSWER_BYTES, max_parts)
+            self._settle_batch(call, parts, body, wait_us, report)
             return self._keep_connection(call.host, connection)
         verdict = verdict_of(answer, call.connection_idle_ms is None)
         complete = answer.status_code in (STATUS_DELIVERED, STATUS_OVER)
@@ -472,8 +476,7 @@
                 self._settle_answered(call, part, outcome)
         if is_complete:
             return keep
-        await asyncio.wait_for(connection.read_body(MAX_ANSWER_BYTES), self._connect_timeout_s)
-        return self._keep_connection(call.host, connection)
+        return await self._read_rest(connection) and self._keep_connection(call.host, connection)
 
     async def _settle_retryable(self, call: Call, connection: Connection, outcome: PartOutcome) -> bool:
         """Settle messages that may be sent again, once the call is over: fully answered, or closed."""
--- a/relay/http.py
+++ b/relay/http.py
@@ -16,13 +16,17 @@
 
 import h11
 
+from relay.fair_queue import fair_queue
+
 Address = tuple[str, int]
 Headers = list[tuple[str, str]]
-MAX_HEAD_BYTES = 16 * 1024  # status line and headers together
+MAX_HEAD_BYTES = 8 * 1024  # status line and headers together
+MAX_INTERIM_ANSWERS = 64  # 1xx answers before the final one
+MAX_BODY_PARTS = 64  # pieces in which a body may come that is not needed
 # How much of an answer is kept: enough for its status line and for a process that takes the call over.
 MAX_KEPT_ANSWER_BYTES = 96 * 1024
 OK_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
-MAX_READ_BYTES = 64 * 1024  # per recv
+MAX_READ_BYTES = 8 * 1024  # per recv
 # Errors for a lack of resources on this machine; they say nothing about the peer.
 RESOURCE_SHORTAGE_ERRNOS = (
     errno.EMFILE,
@@ -61,6 +65,9 @@
         self._status_suffices = False  # whether a status of 200 decides the outcome without the rest
         self._read_deadline_s = math.inf  # the loop's time until which the answer is waited for
         self._loop = asyncio.get_running_loop()
+        self._queue = fair_queue()
+        self._turn: asyncio.Future[None] | None = None  # waits until the answer may be processed further
+        self._processes_at_once = False  # the answer has to be processed without waiting for a turn
         self._reader_added = False  # whether the loop watches for incoming bytes; stays so between calls
         self._writer_added = False  # whether the loop watches for room to write
         self._read_waiter: asyncio.Future[None] | None = None  # waits for the next bytes of the answer
@@ -91,6 +98,7 @@
         for only ``ANSWER_REST_TIMEOUT_S``.
         """
         self.received, self._status_suffices, self._read_deadline_s = bytearray(), status_suffices, math.inf
+        self._processes_at_once = False
         headers = [("Host", f"{self._address[0]}:{self._address[1]}"), *headers]
         if method != "GET":
             headers.append(("Content-Length", str(len(body))))
@@ -139,12 +147,30 @@
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next h11 event of the answer; raises if the connection breaks or ends."""
-        while (event := self._http.next_event()) is h11.NEED_DATA:
+        while (event := await self._process_received()) is h11.NEED_DATA:
             await self._wait_for_data()
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionResetError("connection closed before an answer")
         return event  # type: ignore[return-value]
 
+    async def _process_received(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event in what has been received, once it is this connection's turn."""
+        if not self._processes_at_once and not self._queue.has_turn(self):
+            self._turn = self._queue.join(self)
+            try:
+                await self._turn
+            finally:
+                self._turn = None
+        return self._next_event()
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event in what has been received, and count the time that it takes."""
+        begun_s = self._loop.time()
+        try:
+            return self._http.next_event()
+        finally:
+            self._queue.charge(self, self._loop.time() - begun_s)
+
     def _receive(self, data: bytes) -> None:
         self.received += data[: MAX_KEPT_ANSWER_BYTES - len(self.received)]
         self._http.receive_data(data)
@@ -225,7 +251,15 @@
             self._reader_added = False
 
     def read_pending(self) -> bool:
-        """Read what has arrived; return whether there is something that the reader has not processed yet."""
+        """Read what has arrived; return whether there is something that the reader has not processed yet.
+
+        The reader processes it in the next iteration of the loop.
+        """
+        self._processes_at_once = True
+        if self._turn is not None:
+            if not self._turn.done():
+                self._turn.set_result(None)
+            return True
         if self._read_waiter is None:
             return self._read_ahead()
         if not self._read_waiter.done():
@@ -246,27 +280,40 @@
         return OK_STATUS_LINE.match(self.received) is not None
 
     async def read_response(self) -> h11.Response:
-        """Return status and headers of the final answer; interim (1xx) answers are skipped."""
-        while not isinstance(event := await self.next_event(), h11.Response):
+        """Return status and headers of the final answer; interim (1xx) answers are skipped.
+
+        Raises ``RemoteProtocolError`` for anything else and for too many interim answers.
+        """
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            if isinstance(event := await self.next_event(), h11.Response):
+                return event
             if not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError(f"expected the head of an answer, got {event!r}")
-        return event
+        raise h11.RemoteProtocolError("too many interim answers")
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Return the body of the answer; raises ``RemoteProtocolError`` if it is over ``max_bytes``."""
-        data = bytearray()
+    async def read_body(self, max_bytes: int, max_parts: int = MAX_BODY_PARTS) -> bytes:
+        """Return the body of the answer.
+
+        Raises ``RemoteProtocolError`` if it is over ``max_bytes`` or comes in more than ``max_parts`` pieces:
+        the work that a body costs depends on its pieces, and chunks may be as small as a byte.
+        """
+        data, parts = bytearray(), 0
         while isinstance(event := await self.next_event(), h11.Data):
-            data += event.data
-            if len(data) > max_bytes:
-                raise h11.RemoteProtocolError("the body of the answer is too long")
+            data, parts = data + event.data, parts + 1
+            if len(data) > max_bytes or parts > max_parts:
+                raise h11.RemoteProtocolError("the body of the answer is too long, or in too many pieces")
         return bytes(data)
 
     def skip_rest(self) -> bool:
-        """Discard what has arrived of the body; return whether the answer is complete, as it usually is."""
-        while (event := self._http.next_event()) is not h11.NEED_DATA:
+        """Discard what has arrived of the body; return whether the answer is complete, as it usually is.
+
+        Raises ``RemoteProtocolError`` if the body comes in more than ``MAX_BODY_PARTS`` pieces.
+        """
+        for _ in range(MAX_BODY_PARTS + 1):
+            event = self._next_event()
             if not isinstance(event, h11.Data):
                 return isinstance(event, h11.EndOfMessage)
-        return False
+        raise h11.RemoteProtocolError("the body of the answer comes in too many pieces")
 
     def prepare_reuse(self) -> bool:
         """Make ready for the next request; return whether both sides are done and keep the connection.
