Process operators' calls in turns of bounded time

Same cause as with clients and endpoints, at the operators' address: OperatorConnection went through all events of a read of up to 256 KiB in one go, and its bound on the body counts bytes.

Change: a read takes 8 KiB, a call with its framing 24 KiB, and each event is processed when the connection has its turn in the fair queue.

--- a/relay/admin.py
+++ b/relay/admin.py
@@ -17,6 +17,7 @@
 import h11
 
 from relay.driver import MESSAGE_RESULTS, Driver, MessageCounts, OperatorStats
+from relay.fair_queue import fair_queue
 from relay.http import MAX_HEAD_BYTES
 from relay.journal import JournalFullError
 from relay.listeners import Listener
@@ -26,6 +27,8 @@
 LINGER_TIMEOUT_S = 0.4  # seconds that a caller has to close its side after the answer
 MAX_CONNECTIONS = 16  # a connection beyond this replaces the least recently active one
 MAX_BODY_BYTES = 4096  # of a call's body, which is ignored
+READ_BUFFER_BYTES = 8 * 1024  # read from one connection in one event loop iteration
+MAX_CALL_BYTES = MAX_HEAD_BYTES + 2 * READ_BUFFER_BYTES  # of a call with its body and the framing of that
 HEALTH_PATH, STATS_PATH, COST_PATH = "/admin/health", "/admin/stats", "/admin/cost"
 CORDON_PATH, UNCORDON_PATH = "/admin/cordon", "/admin/uncordon"
 METHOD_BY_PATH = {
@@ -138,7 +141,7 @@
         return Answer(200, "left out\n" if banned else "in use\n")
 
 
-class OperatorConnection(asyncio.Protocol):
+class OperatorConnection(asyncio.BufferedProtocol):
     """Connection of one operator, with its one call."""
 
     def __init__(self, admin: AdminServer, predecessor_counts: MessageCounts) -> None:
@@ -146,7 +149,10 @@
         self._predecessor_counts = predecessor_counts
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
-        self._body_bytes = 0  # received so far
+        self._queue = fair_queue()
+        self._queued = False  # what has arrived waits for its turn
+        self._received_bytes = 0
+        self._body_bytes = 0  # processed so far
         self._answered = False
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -162,41 +168,64 @@
             self._timer.cancel()
         self._admin.connections.pop(self, None)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next bytes are read; all connections share it."""
+        return self._admin.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         self._admin.connections.move_to_end(self)
-        self._receive(data)
+        self._receive(bytes(self._admin.read_buffer[:nbytes]))
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
         """Answer a caller that closes its write side before its call is complete with an error."""
         self._receive(b"")
+        return self._queued  # what it has sent before has not been processed yet
 
     def _receive(self, data: bytes) -> None:
-        """Answer once the call is complete; an exception closes only this connection."""
+        """Process what has arrived as soon as it is this connection's turn."""
         if self._answered:  # data after the call is read and dropped
             return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_CALL_BYTES:
+            self._send_answer(Answer(413, "the call is too long\n"))
+            return
+        self._http.receive_data(data)
+        if not self._queued:
+            self._queued = True
+            self._queue.run(self._process_next)
+
+    def _process_next(self) -> bool:
+        """Process one part of the call; return whether there may be more.
+
+        An exception closes only this connection.
+        """
+        more = False
         try:
-            self._http.receive_data(data)
-            self._read_events()
+            more = not self._answered and self._process_event()
         except h11.RemoteProtocolError as error:
             self._send_answer(Answer(error.error_status_hint, "the call cannot be read\n"))
         except Exception:
             LOG.exception("operators: a call failed with an internal error")
             self._send_answer(Answer(500, "internal error\n"))
-
-    def _read_events(self) -> None:
-        while (event := self._http.next_event()) is not h11.NEED_DATA:
-            if isinstance(event, h11.Request):
-                self._request = event
-            elif isinstance(event, h11.Data):
-                self._body_bytes += len(event.data)
-            elif not isinstance(event, h11.EndOfMessage):
-                return  # the caller has closed the connection
-            if self._body_bytes > MAX_BODY_BYTES:
-                return self._send_answer(Answer(413, "the body is too long\n"))
-            if self._request and (
-                isinstance(event, h11.EndOfMessage) or self._http.they_are_waiting_for_100_continue
-            ):
-                return self._send_answer(self._admin.answer(self._request, self._predecessor_counts))
+        self._queued = more
+        return more
+
+    def _process_event(self) -> bool:
+        """Answer once the call is complete; return whether more of it may have arrived."""
+        event = self._http.next_event()
+        if isinstance(event, h11.Request):
+            self._request = event
+        elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+        elif not isinstance(event, h11.EndOfMessage):
+            return False  # nothing has arrived, or the caller has closed the connection
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._send_answer(Answer(413, "the body is too long\n"))
+        elif self._request and (
+            isinstance(event, h11.EndOfMessage) or self._http.they_are_waiting_for_100_continue
+        ):
+            self._send_answer(self._admin.answer(self._request, self._predecessor_counts))
+        return not self._answered
 
     def _call_timed_out(self) -> None:
         self._send_answer(Answer(408, "no whole call in time\n"))
@@ -234,6 +263,7 @@
         self.handler: RequestHandler | None = None
         # Least recently active first.
         self.connections: OrderedDict[OperatorConnection, None] = OrderedDict()
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.listeners: list[Listener] = []  # this process's own address first
 
     async def start(self, sock: socket.socket, predecessor_counts: MessageCounts = NO_COUNTS) -> None:
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from relay import clients, fair_queue
+from relay import admin, clients, fair_queue
 from relay.driver import Driver
 from relay.reasons import EndReason
 from standins.scripted import MAX_WAIT_S, encode_command, with_timeout
@@ -37,8 +37,8 @@
     return client, await connect_peer(client)
 
 
-async def connect_peer(client: clients.ClientConnection) -> socket.socket:
-    """Connect a client as the server holds it to a peer, and return the peer's socket."""
+async def connect_peer(client: asyncio.BaseProtocol) -> socket.socket:
+    """Connect a client as a server holds it to a peer, and return the peer's socket."""
     left, right = socket.socketpair()
     left.setblocking(False)
     right.settimeout(MAX_WAIT_S)
@@ -106,6 +106,28 @@
     assert max(held_up_s) < HELD_UP_S
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PUT /admin/cordon HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * 20_000,
+        b"GET /admin/health HTTP/1.1\r\n" + b"a:\r\n" * 40_000,
+    ],
+    ids=["body in small chunks", "many headers"],
+)
+async def test_calls_of_operators_in_many_pieces_hold_up_nobody(held_up_s: list[float], data: bytes) -> None:
+    """Guards against processing a call in one go, whose work does not follow from its length."""
+    server = admin.AdminServer()
+    peers = [await connect_peer(admin.OperatorConnection(server, admin.NO_COUNTS)) for _ in range(16)]
+    threads = [thread for peer in peers for thread in send_and_read(peer, data)]
+    async with asyncio.timeout(MAX_WAIT_S):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    for thread in threads:
+        await asyncio.to_thread(thread.join)
+    assert max(held_up_s) < HELD_UP_S
+
+
 async def test_a_client_waits_for_one_quantum_of_each_other_at_most(
     server: clients.Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
