Limit the time of a request that a client from another process begins

Its time limit of "none" was taken for the limit of the next request: call_at(math.inf). Now the usual limit applies. The new test times out on the code before.

--- a/relay/clients.py
+++ b/relay/clients.py
@@ -268,8 +268,10 @@
 
     def _start_request_timer(self) -> None:
         """Limit the wait for a complete request: silent peers and partial requests occupy descriptors."""
-        loop = asyncio.get_running_loop()
-        due_s, self._request_due_s = self._request_due_s or loop.time() + REQUEST_TIMEOUT_S, None
+        loop, due_s = asyncio.get_running_loop(), self._request_due_s
+        if due_s is None or due_s == math.inf:
+            due_s = loop.time() + REQUEST_TIMEOUT_S
+        self._request_due_s = None
         self._timer = loop.call_at(due_s, self._request_timed_out)
 
     def handover_state(self) -> tuple[dict[str, Any], int] | None:
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -213,6 +213,19 @@
     peer.close()
 
 
+async def test_a_client_from_another_process_that_stops_in_a_request_is_told(
+    server: clients.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client without a request that takes its missing time limit along into the next one."""
+    monkeypatch.setattr(clients, "REQUEST_TIMEOUT_S", 0.1)
+    client = clients.ClientConnection(server, b"", float("inf"))
+    peer = await connect_peer(client)
+    peer.send(PING[:5])
+    assert (await asyncio.to_thread(peer.recv, 1000)).startswith(b"-ERR no whole request")
+    client.abort()
+    peer.close()
+
+
 @pytest.mark.parametrize("more", [0, 1], ids=["whole buffers", "and a part"])
 async def test_many_requests_that_have_arrived_are_answered_before_a_shutdown_closes(
     server: clients.Server, more: int
