--- a/fleetlab/lab_run.py
+++ b/fleetlab/lab_run.py
@@ -666,16 +666,22 @@
                 endpoint_faults.slowdown,
                 endpoint_faults.failure_share,
                 endpoint_faults.hang_share,
+                endpoint_faults.endless_share,
             )
             endpoint_faults.slowdown = max(endpoint_faults.slowdown, fault.times)
             if fault.kind == "partner-fail":
                 endpoint_faults.failure_share = max(endpoint_faults.failure_share, fault.share)
             if fault.kind == "partner-hang":
                 endpoint_faults.hang_share = max(endpoint_faults.hang_share, fault.share or 1.0)
+            if fault.kind == "partner-endless":
+                endpoint_faults.endless_share = max(endpoint_faults.endless_share, fault.share)
             await self._wait_fault_duration(fault)
-            endpoint_faults.slowdown, endpoint_faults.failure_share, endpoint_faults.hang_share = (
-                faults_before
-            )
+            (
+                endpoint_faults.slowdown,
+                endpoint_faults.failure_share,
+                endpoint_faults.hang_share,
+                endpoint_faults.endless_share,
+            ) = faults_before
 
     async def _apply_platform_fault(self, fault: Fault) -> None:
         """Play a fault of discovery until it ends."""
--- a/fleetlab/process_faults.py
+++ b/fleetlab/process_faults.py
@@ -1,10 +1,10 @@
-"""Faults on processes: kills, terminations, replacements, reloads, pauses, limits, crowds of idle clients."""
+"""Faults on processes: ends, replacements, reloads, pauses, limits, idle clients and floods."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from functools import partial
 
@@ -15,6 +15,9 @@
 KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL, as the protocol's page says
 RECONNECT_S = 0.03  # before an idle client of a crowd connects again
 CROWD_STEP_S = 0.01  # between the first connections of two idle clients of a crowd
+FLOOD_STEP_S = 0.002  # between two blocks of a client that floods
+FLOOD_BLOCK_BYTES = 8192
+FLOOD_VALUES = (b"+\r\n", b"*1\r\n$4\r\nPING\r\n", b"*1\r\n$1\r\nx\r\n")  # none is taken on
 SIGNALS = {"HUP": signal.SIGHUP, "TERM": signal.SIGTERM}
 
 
@@ -49,7 +52,9 @@
             case "reload":
                 await self._reload(fault, member)
             case "crowd":
-                await self._crowd(fault, member, wait_end)
+                await self._keep_clients(self._keep_idle_connection, fault, member, wait_end)
+            case "flood":
+                await self._keep_clients(self._keep_flooding, fault, member, wait_end)
             case "pause":
                 self._fleet.signal(member, signal.SIGSTOP)
                 await wait_end()
@@ -123,12 +128,16 @@
             await self._fleet.reload(member)
             await asyncio.sleep(fault.gap_s)
 
-    async def _crowd(self, fault: Fault, member: Member, wait_end: Callable[[], Awaitable[None]]) -> None:
-        """Keep idle connections to a relay open until the fault ends."""
+    async def _keep_clients(
+        self,
+        behave: Callable[[str, int], Coroutine[None, None, None]],
+        fault: Fault,
+        member: Member,
+        wait_end: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Run clients of a relay, given its address and their numbers, until the fault ends."""
         tasks = [
-            asyncio.get_running_loop().create_task(
-                self._keep_idle_connection(self._relay_addresses[member.name], number * CROWD_STEP_S)
-            )
+            asyncio.get_running_loop().create_task(behave(self._relay_addresses[member.name], number))
             for number in range(fault.connections)
         ]
         try:
@@ -138,9 +147,29 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _keep_idle_connection(self, address: str, after_s: float) -> None:
+    async def _keep_flooding(self, address: str, number: int) -> None:
+        """Send small values, blocks of them in quick succession, and every other client reads no replies."""
+        value = FLOOD_VALUES[number % len(FLOOD_VALUES)]
+        block = value * (FLOOD_BLOCK_BYTES // len(value))
+        while True:
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(
+                    address, CLIENTS_PORT, local_addr=(self._clients_address, 0)
+                )
+                try:
+                    while not reader.at_eof():
+                        writer.write(block)
+                        await writer.drain()
+                        if number % 2 == 0:
+                            await reader.read(FLOOD_BLOCK_BYTES)
+                        await asyncio.sleep(FLOOD_STEP_S)
+                finally:
+                    writer.close()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _keep_idle_connection(self, address: str, number: int) -> None:
         """Connect after a time, send nothing, and connect again whenever the relay ends the connection."""
-        await asyncio.sleep(after_s)
+        await asyncio.sleep(number * CROWD_STEP_S)
         while True:
             with suppress(OSError):
                 reader, writer = await asyncio.open_connection(
--- a/fleetlab/scenario.py
+++ b/fleetlab/scenario.py
@@ -49,17 +49,18 @@
     DestinationSpec(dest=4, kind="bank-gateway", work_ms=110, slots=12),
 ]
 FaultKind = Literal[
-    "kill", "pause", "terminate", "slow", "limit", "replace", "reload", "crowd",  # processes
+    "kill", "pause", "terminate", "slow", "limit", "replace", "reload", "crowd", "flood",  # processes
     "cut", "reset", "delay", "throttle", "datagrams",  # links
     "partner-down", "partner-shut", "partner-slow", "partner-fail", "partner-hang",  # partners
-    "partner-limit", "drain",  # partners
+    "partner-endless", "partner-limit", "drain",  # partners
     "list-gone", "list-crowded", "list-late", "list-moved", "list-silent",  # the platform
 ]  # fmt: skip
-RELAY_FAULTS = ("replace", "reload", "crowd")
+RELAY_FAULTS = ("replace", "reload", "crowd", "flood")
 PROCESS_FAULTS = ("kill", "pause", "terminate", "slow", "limit", *RELAY_FAULTS)
 LINK_FAULTS = ("cut", "reset", "delay", "throttle", "datagrams")
 PARTNER_FAULTS = (
-    "partner-down", "partner-shut", "partner-slow", "partner-fail", "partner-hang", "partner-limit", "drain",
+    "partner-down", "partner-shut", "partner-slow", "partner-fail", "partner-hang", "partner-endless",
+    "partner-limit", "drain",
 )  # fmt: skip
 PLATFORM_FAULTS = ("list-gone", "list-crowded", "list-late", "list-moved", "list-silent")
 
@@ -83,7 +84,7 @@
     # healthy to SIGTERM for the old one
     gap_s: float = 0.0
     repeats: int = 1  # replace, reload: how many times in a row
-    connections: int = 0  # crowd: of idle clients, to each relay
+    connections: int = 0  # crowd: of idle clients, flood: of clients that send much, to each relay
     to: list[str] = []  # links: the other ends; empty: all
     direction: Literal["both", "forward", "back"] = "both"  # links: forward is from caller to called
     delay_ms: float = 0.0
@@ -276,7 +277,8 @@
 # Keys that a kind of fault cannot do without.
 REQUIRED_KEYS = {
     "slow": "share", "delay": "delay_ms", "throttle": "bytes_per_s", "partner-slow": "times",
-    "partner-fail": "share", "list-late": "late_s", "crowd": "connections",
+    "partner-fail": "share", "partner-endless": "share", "list-late": "late_s", "crowd": "connections",
+    "flood": "connections",
 }  # fmt: skip
 # Keys of faults that have to be from 0 to 1.
 SHARE_KEYS = ("part", "share", "lost", "doubled", "reordered")
--- a/fleetlab/soak.py
+++ b/fleetlab/soak.py
@@ -23,6 +23,9 @@
 SCENARIO_NAME = "soak"
 CROWD_SEED_PERIOD = 4  # one in so many seeds has a crowd of idle clients
 CROWD_S = 5.0  # how long a crowd stays
+FLOOD_SEED_REST = 1  # of a seed by that period: it has clients that flood a relay, and answers without end
+FLOOD_CONNECTIONS = 6
+ENDLESS_SHARE = 0.5
 CROWD_SHARE = 0.9  # of a relay's descriptors are taken by a crowd
 STALL_COUNT = 6  # pauses of relays in each run
 STALL_S = 0.15  # duration of such a pause; the acceptance page asks relays to bear it
@@ -104,6 +107,8 @@
     faults += stall_faults(soak_scenario, seed)
     if seed % CROWD_SEED_PERIOD == 0:
         faults.append(crowd_fault(soak_scenario, seed, adversary.from_s))
+    if seed % CROWD_SEED_PERIOD == FLOOD_SEED_REST:
+        faults += flood_faults(soak_scenario, seed, adversary.from_s)
     return run_folders.Plan(SCENARIO_NAME, soak_scenario, seed, faults)
 
 
@@ -126,6 +131,16 @@
     return Fault(kind="crowd", at_s=from_s, for_s=CROWD_S, on=[relay], connections=connections)
 
 
+def flood_faults(soak_scenario: Scenario, seed: int, from_s: float) -> list[Fault]:
+    """Return clients that flood one relay, and a partner of whose answers half never end."""
+    relay = soak_scenario.relay_names[seed // CROWD_SEED_PERIOD % soak_scenario.relays]
+    partner = soak_scenario.partners[seed // CROWD_SEED_PERIOD % len(soak_scenario.partners)]
+    return [
+        Fault(kind="flood", at_s=from_s, for_s=CROWD_S, on=[relay], connections=FLOOD_CONNECTIONS),
+        Fault(kind="partner-endless", at_s=from_s, for_s=CROWD_S, on=partner.hosts, share=ENDLESS_SHARE),
+    ]
+
+
 def missing_faults(plan: run_folders.Plan, run: Run) -> tuple[str, ...]:
     """Return the plan's faults that did not happen, each with its kind and target.
 
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -23,6 +23,8 @@
 BATCH_PATH = "/hook/batch"
 # Idempotency keys that a destination remembers; beyond this number the oldest is forgotten first.
 MAX_REMEMBERED_KEYS = 100_000
+# A good answer whose body goes on in chunks of one byte and never ends.
+ENDLESS_ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 20_000
 
 
 class DestinationSpec(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -100,6 +102,9 @@
     slowdown: float = 1.0  # factor on the usual service time
     failure_share: float = 0.0  # share of calls that are answered with 500
     hang_share: float = 0.0  # share of calls that are accepted and never answered
+    endless_share: float = (
+        0.0  # share of good answers to one message whose body comes in chunks without an end
+    )
     shut_until_s: float = 0.0  # until then every call is refused
 
 
@@ -448,7 +453,11 @@
         now_s = self._clock.now()
         verdicts = [verdict] * len(refs)
         self._sink(Reply(now_s, caller.conn, caller.relay, self.host, status, refs, verdicts, wait_ms))
-        caller.writer.write(http.encode_response(status, body, headers))
+        endless_share = self.destination.faults_by_host[self.host].endless_share
+        if status == 200 and len(refs) == 1 and endless_share and self._rng.random() < endless_share:
+            caller.writer.write(ENDLESS_ANSWER)
+        else:
+            caller.writer.write(http.encode_response(status, body, headers))
 
     def stop(self) -> None:
         """Close the socket and all connections for good."""
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -38,7 +38,7 @@
     drawn_kinds = Counter(fault.kind for plan in plans for fault in plan.faults)
     adversary = plans[0].scenario.adversary
     assert adversary is not None
-    assert set(drawn_kinds) == {*adversary.kinds, *RELAY_FAULTS, "pause"}
+    assert set(drawn_kinds) == {*adversary.kinds, *RELAY_FAULTS, "pause", "partner-endless"}
     signals = {tuple(fault.signals) for plan in plans for fault in plan.faults if fault.kind == "terminate"}
     assert {(), ("HUP",), ("TERM", "TERM")} <= signals
     for class_index in range(3):
