--- a/relay/resource_usage.py
+++ b/relay/resource_usage.py
@@ -36,6 +36,7 @@
     outages: Mapping[str, int] = field(default_factory=dict)  # of destinations, by event
     ended_clients: Mapping[str, int] = field(default_factory=dict)  # connections the relay closed, by reason
     refused_messages: Mapping[str, int] = field(default_factory=dict)  # by reason
+    deferred_input: int = 0  # how often input of a peer had to wait for its turn
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +136,7 @@
         *((f"outages.{name}", count, "c") for name, count in counters.outages.items()),
         *((f"clients.ended.{reason}", count, "c") for reason, count in counters.ended_clients.items()),
         *((f"clients.refused.{reason}", count, "c") for reason, count in counters.refused_messages.items()),
+        ("input.deferred", counters.deferred_input, "c"),
         ("messages.ended", ended_messages, "c"),
         ("journal.bytes", counters.journal_bytes, "c"),
         ("journal.writes", counters.journal_writes, "c"),
--- a/tests/test_resource_usage.py
+++ b/tests/test_resource_usage.py
@@ -61,6 +61,7 @@
         "processor.module_us",
         "processor.other_us",
         "descriptors.clients",
+        "input.deferred",
         "messages.ended",
         "journal.bytes",
         "journal.writes",
