Close a client whose last read filled the buffer, and keep one fair queue at a time

The queue of a loop that is over was kept. A body that is not needed may come in 128 pieces: 64 KiB may come in some 50 segments from an honest endpoint.

--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -23,7 +23,7 @@
 from relay.admin import PREDECESSOR_ADDRESS_S, AdminServer, RequestHandler
 from relay.clients import Server
 from relay.driver import AnyVersionState, Driver, MessageCounts, layout
-from relay.fair_queue import fair_queue
+from relay.fair_queue import FairQueue
 from relay.handover import HandoverPayload, HandoverServer, ReceivedHandover, RelayLock, become_relay
 from relay.journal import Journal
 from relay.listeners import Listener, duplicate_socket, listen_at, listen_when_free
@@ -112,7 +112,7 @@
             outages=self.driver.outage_counts,
             ended_clients={str(reason): count for reason, count in self.server.ended_counts.items()},
             refused_messages={str(reason): count for reason, count in self.driver.refusal_counts.items()},
-            deferred_input=fair_queue().deferred_count,
+            deferred_input=FairQueue.of_running_loop().deferred_count,
         )
 
     def _schedule_cost_log(self) -> None:
--- a/relay/admin.py
+++ b/relay/admin.py
@@ -17,7 +17,7 @@
 import h11
 
 from relay.driver import MESSAGE_RESULTS, Driver, MessageCounts, OperatorStats
-from relay.fair_queue import fair_queue
+from relay.fair_queue import FairQueue
 from relay.http import MAX_HEAD_BYTES
 from relay.journal import JournalFullError
 from relay.listeners import Listener
@@ -149,7 +149,7 @@
         self._predecessor_counts = predecessor_counts
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
-        self._queue = fair_queue()
+        self._queue = FairQueue.of_running_loop()
         self._queued = False  # what has arrived waits for its turn
         self._received_bytes = 0
         self._body_bytes = 0  # processed so far
--- a/relay/clients.py
+++ b/relay/clients.py
@@ -14,7 +14,7 @@
 
 from relay import resp
 from relay.driver import ClientMessage, Driver
-from relay.fair_queue import fair_queue
+from relay.fair_queue import FairQueue
 from relay.listeners import Listener
 from relay.reasons import EndReason, RefusalReason
 
@@ -111,7 +111,7 @@
 
     def __init__(self, server: Server, data: bytes = b"", request_due_s: float | None = None) -> None:
         self._server = server
-        self._queue = fair_queue()
+        self._queue = FairQueue.of_running_loop()
         self._buffer = bytearray(data)  # received after the last request that was answered
         self._min_request_bytes = 0  # the buffer cannot hold a complete request before it has this size
         self._counted_bytes = 0  # this connection's part of the server's unfinished_bytes
@@ -357,6 +357,7 @@
         if closed or self._buffer:  # a request that has begun meanwhile is answered before the close
             return
         if self._more_unread:
+            self._more_unread = False
             self._schedule_close()
         else:
             self._close_writing(EndReason.SHUTDOWN)
--- a/relay/fair_queue.py
+++ b/relay/fair_queue.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from weakref import WeakKeyDictionary
+from typing import ClassVar
 
 SLICE_S = 0.002  # time for input in one iteration of the event loop
 QUANTUM_S = 0.0002  # time of one peer until the next one has its turn
@@ -24,6 +24,15 @@
 class FairQueue:
     """The line of peers whose input waits for its turn; a unit of work is never interrupted."""
 
+    _latest: ClassVar[FairQueue | None] = None
+
+    @classmethod
+    def of_running_loop(cls) -> FairQueue:
+        """Return the queue of the running event loop, which all its readers of input share."""
+        if cls._latest is None or cls._latest._loop is not asyncio.get_running_loop():
+            cls._latest = cls()
+        return cls._latest
+
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._waiting: deque[Work | asyncio.Future[None]] = deque()
@@ -110,14 +119,3 @@
             pass
         self._used_s += self._loop.time() - begun_s
         return more
-
-
-_queues: WeakKeyDictionary[asyncio.AbstractEventLoop, FairQueue] = WeakKeyDictionary()
-
-
-def fair_queue() -> FairQueue:
-    """Return the queue of the running event loop, which all its readers of input share."""
-    loop = asyncio.get_running_loop()
-    if (queue := _queues.get(loop)) is None:
-        queue = _queues[loop] = FairQueue()
-    return queue
--- a/relay/http.py
+++ b/relay/http.py
@@ -16,13 +16,13 @@
 
 import h11
 
-from relay.fair_queue import fair_queue
+from relay.fair_queue import FairQueue
 
 Address = tuple[str, int]
 Headers = list[tuple[str, str]]
 MAX_HEAD_BYTES = 8 * 1024  # status line and headers together
 MAX_INTERIM_ANSWERS = 64  # 1xx answers before the final one
-MAX_BODY_PARTS = 64  # pieces in which a body may come that is not needed
+MAX_BODY_PARTS = 128  # pieces in which a body may come that is not needed
 # How much of an answer is kept: enough for its status line and for a process that takes the call over.
 MAX_KEPT_ANSWER_BYTES = 96 * 1024
 OK_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
@@ -65,7 +65,7 @@
         self._status_suffices = False  # whether a status of 200 decides the outcome without the rest
         self._read_deadline_s = math.inf  # the loop's time until which the answer is waited for
         self._loop = asyncio.get_running_loop()
-        self._queue = fair_queue()
+        self._queue = FairQueue.of_running_loop()
         self._turn: asyncio.Future[None] | None = None  # waits until the answer may be processed further
         self._processes_at_once = False  # the answer has to be processed without waiting for a turn
         self._reader_added = False  # whether the loop watches for incoming bytes; stays so between calls
