Leave out a listed endpoint whose number is infinite

Another reader of what others send: an entry with a number beyond all bounds (1e999) raised OverflowError, which ended the watch with each list, so that no later change of the list was learned. It is left out like other malformed entries. The extended test fails on the code before: the message is never sent.

--- a/relay/endpoint_list.py
+++ b/relay/endpoint_list.py
@@ -61,7 +61,7 @@
         if not address or not 0 < int(port) < 65536:
             raise ValueError(f"dial is not HOST:PORT with a port from 1 to 65535: {raw['dial']!r}")
         return ListedEndpoint(entry, (address, int(port)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         LOG.warning("discovery: malformed endpoint left out of the list: %r", error)
         return None
 
@@ -71,7 +71,7 @@
     try:
         endpoints = [parse_endpoint(item) for item in raw["hosts"]]
         return DirectoryUpdate(int(raw["seq"]), bool(raw["whole"]), tuple(item for item in endpoints if item))
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, OverflowError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from None
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -337,6 +337,7 @@
     world.discovery.change_entry("bad1", dial="nowhere")
     world.discovery.change_entry("bad2", dial="127.0.0.1:1", health="ODD")
     world.discovery.change_entry("bad3", dial="127.0.0.1:1", block="x")
+    world.discovery.change_entry("bad4", dial="127.0.0.1:1", block=float("inf"))  # no whole number
     host = await world.add_host("h1")
     client = await world.start_relay()
     await client.submit("m1")
