--- a/relay/http.py
+++ b/relay/http.py
@@ -68,6 +68,7 @@
         self._queue = FairQueue.of_running_loop()
         self._turn: asyncio.Future[None] | None = None  # waits until the answer may be processed further
         self._processes_at_once = False  # the answer has to be processed without waiting for a turn
+        self._read_count = 0
         self._reader_added = False  # whether the loop watches for incoming bytes; stays so between calls
         self._writer_added = False  # whether the loop watches for room to write
         self._read_waiter: asyncio.Future[None] | None = None  # waits for the next bytes of the answer
@@ -239,6 +240,7 @@
 
     def _read(self) -> None:
         data = self.sock.recv(MAX_READ_BYTES)
+        self._read_count += 1
         if not data:
             self._unwatch()
             if not self.received:
@@ -294,13 +296,13 @@
     async def read_body(self, max_bytes: int, max_parts: int = MAX_BODY_PARTS) -> bytes:
         """Return the body of the answer.
 
-        Raises ``RemoteProtocolError`` if it is over ``max_bytes`` or comes in more than ``max_parts`` pieces:
-        the work that a body costs depends on its pieces, and chunks may be as small as a byte.
+        Raises ``RemoteProtocolError`` if it is over ``max_bytes``, or in more than ``max_parts`` pieces beyond
+        one for each read: the work depends on the pieces, and chunks may be as small as a byte.
         """
-        data, parts = bytearray(), 0
+        data, parts, reads_before = bytearray(), 0, self._read_count
         while isinstance(event := await self.next_event(), h11.Data):
             data, parts = data + event.data, parts + 1
-            if len(data) > max_bytes or parts > max_parts:
+            if len(data) > max_bytes or parts - (self._read_count - reads_before) > max_parts:
                 raise h11.RemoteProtocolError("the body of the answer is too long, or in too many pieces")
         return bytes(data)
 
