--- a/relay/http.py
+++ b/relay/http.py
@@ -296,8 +296,8 @@
     async def read_body(self, max_bytes: int, max_parts: int = MAX_BODY_PARTS) -> bytes:
         """Return the body of the answer.
 
-        Raises ``RemoteProtocolError`` if it is over ``max_bytes``, or in more than ``max_parts`` pieces beyond
-        one for each read: the work depends on the pieces, and chunks may be as small as a byte.
+        Raises ``RemoteProtocolError`` if it is over ``max_bytes``, or in over ``max_parts`` pieces beyond one
+        for each read: the work depends on the pieces, which may be as small as a byte.
         """
         data, parts, reads_before = bytearray(), 0, self._read_count
         while isinstance(event := await self.next_event(), h11.Data):
