Append to the body of an answer in place

Last reading: read_body built a new buffer for each piece, so that a body in single bytes was copied whole each time, as the requests of a client were before. Behaviour is the same. A condition is one line again.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -513,9 +513,7 @@
         if message.attempts >= self.settings.max_attempts or (uncertain and cls.effect is Effect.UNSAFE):
             return self.now_us
         end_us = message.deadline_us
-        if (
-            uncertain and cls.effect is Effect.KEYED
-        ):  # a repeat that is not answered within the window is reset
+        if uncertain and cls.effect is Effect.KEYED:  # a repeat not answered within its window is reset
             end_us = min(end_us, self._key_window_end_us(message))
         return end_us - self._min_call_us(cls)
 
--- a/relay/http.py
+++ b/relay/http.py
@@ -301,7 +301,8 @@
         """
         data, parts, reads_before = bytearray(), 0, self._read_count
         while isinstance(event := await self.next_event(), h11.Data):
-            data, parts = data + event.data, parts + 1
+            data += event.data
+            parts += 1
             if len(data) > max_bytes or parts - (self._read_count - reads_before) > max_parts:
                 raise h11.RemoteProtocolError("the body of the answer is too long, or in too many pieces")
         return bytes(data)
