Count a restart of a relay from its SIGTERM in the proving ground's checks

Cause: PROTOCOL says that no notice is overdue from SIGTERM or SIGKILL of a restart until 1.5 s after the relay is ready again. The lab recorded no SIGTERM, and in_time counted from the end of the process.

Change: the lab records SIGTERM, and a restart begins with it. What was due before it is judged as before, and so is what is later than 1.5 s after the relay is ready.

Test: test_no_end_is_overdue_from_sigterm_until_the_relay_is_ready_again, failed before (SIGTERM before the message is due); a SIGTERM after it and an end without one stay findings.

--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -288,6 +288,7 @@
             return
         assert member.process is not None
         self.measure_cpu_s(member, last=True)
+        self.sink(Process(self.now(), member.name, member.life, "terminate"))
         self.signal(member, signal.SIGTERM)
         try:
             async with asyncio.timeout(patience_s):
--- a/standins/records.py
+++ b/standins/records.py
@@ -170,7 +170,7 @@
 
 
 class Process(Record, frozen=True, tag="process"):
-    """A process of the fleet: ``start``, ``ready`` or ``exit``.
+    """A process of the fleet: ``start``, ``ready``, ``terminate`` (it was sent SIGTERM) or ``exit``.
 
     ``asked`` is true for an exit that a fault or the run's end caused.
     """
--- a/tests/lab/test_planted_bugs.py
+++ b/tests/lab/test_planted_bugs.py
@@ -204,6 +204,38 @@
     ]
 
 
+@pytest.mark.parametrize("terminated_s", [None, 0.2, 0.4], ids=["unasked", "before", "after"])
+def test_no_end_is_overdue_from_sigterm_until_the_relay_is_ready_again(
+    runs_by_bug: RunsByBug, terminated_s: float | None
+) -> None:
+    """Guards against a restart that counts from the process's end only, while its relay was already ending.
+
+    The message is due 0.3 s after its time; its relay ends 0.6 s after it, and is ready 2 s after it.
+    """
+    history = clean_history(runs_by_bug)
+    handed = next(item for item in history if isinstance(item, records.Handed))
+    history[:] = [
+        item for item in history if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])
+    ]
+    deadline_s, name = handed.t + handed.left_s, handed.relay
+    restart: list[records.AnyRecord] = [
+        records.Process(deadline_s + 0.6, name, 1, "exit", -9),
+        records.Process(deadline_s + 1.8, name, 2, "start"),
+        records.Process(deadline_s + 2.0, name, 2, "ready"),
+    ]
+    if terminated_s is not None:
+        restart.insert(0, records.Process(deadline_s + terminated_s, name, 1, "terminate"))
+
+    def is_late(after_s: float) -> bool:
+        acceptance = records.Heard(handed.t + 0.01, handed.ref, "ok")
+        notice = records.Noticed(deadline_s + after_s, name, handed.ref, "bounced")
+        found = run_checkers(Run([*history, handed, acceptance, *restart, notice]))["in_time"]
+        return any(handed.ref in finding.text for finding in found)
+
+    assert is_late(3.4) == (terminated_s != 0.2), "only a SIGTERM before the message is due excuses it"
+    assert is_late(3.6), "1.5 s after the relay is ready it is overdue in any case"
+
+
 def give_up_untried(history: list[records.AnyRecord]) -> None:
     """A relay restarts before it has tried the first message, and bounces it as soon as it is ready."""
     handed = next(item for item in history if isinstance(item, records.Handed))
