--- a/fleetlab/checks/run.py
+++ b/fleetlab/checks/run.py
@@ -230,8 +230,9 @@
     def restart_ready_s(self, relay: str, t: float) -> float | None:
         """Return when a relay that was ending, down or starting at time ``t`` was ready again.
 
-        A restart begins at SIGTERM, or at the end of the process if there was none. Return infinity if it never was, and None if the relay was not restarting at ``t``. Of several
-        restarts that follow each other without a gap the last one counts.
+        A restart begins at SIGTERM, or at the end of the process if there was none. Return infinity if the
+        relay never was ready again, and None if it was not restarting at ``t``. Of several restarts that
+        follow each other without a gap the last one counts.
         """
         lives, ready_s = self.lives.get(relay, []), None
         for at, life in enumerate(lives):
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -5,8 +5,6 @@
 import asyncio
 import socket
 import threading
-import time
-from collections.abc import AsyncIterator
 from contextlib import suppress
 from types import SimpleNamespace
 from typing import cast
@@ -17,11 +15,11 @@
 from relay.driver import Driver
 from relay.reasons import EndReason
 from standins.scripted import MAX_WAIT_S, encode_command, with_timeout
+from tests.loop_iterations import nobody_held_up
 
 PING = encode_command(b"PING")
 PONG = b"+PONG\r\n"
 UNKNOWN = encode_command(b"UNKNWN")  # an unknown command of 16 bytes
-HELD_UP_S = 0.15  # the longest time for which a relay may be held up
 FLOODERS = 6
 FLOOD_BYTES = 1_000_000
 
@@ -66,45 +64,28 @@
     return threads
 
 
-@pytest.fixture
-async def held_up_s() -> AsyncIterator[list[float]]:
-    """Collect the processor time of each iteration of the loop; other processes do not count."""
-    times_s = [0.0]
-
-    async def watch() -> None:
-        while True:
-            begun_s = time.thread_time()
-            await asyncio.sleep(0)
-            times_s.append(time.thread_time() - begun_s)
-
-    watching = asyncio.create_task(watch())
-    yield times_s
-    watching.cancel()
-
-
 @pytest.mark.parametrize(
     "value",
     [b"+\r\n", b"*0\r\n", PING, encode_command(b"x"), encode_command(b"ENQUEUE", b"", b"", b"", b"")],
     ids=["simple strings", "empty arrays", "pings", "unknown commands", "incomplete messages"],
 )
 async def test_many_small_values_of_some_peers_hold_up_nobody_else(
-    server: clients.Server, held_up_s: list[float], value: bytes
+    server: clients.Server, value: bytes
 ) -> None:
     """Guards against answering all values that one read brought before anything else runs."""
     _, other = await connect(server)
     flooders = [await connect(server) for _ in range(FLOODERS)]
-    threads = [
-        thread for _, peer in flooders for thread in send_and_read(peer, value * (FLOOD_BYTES // len(value)))
-    ]
-    for _ in range(20):
-        await asyncio.to_thread(other.sendall, PING)
-        assert await asyncio.to_thread(other.recv, 100) == PONG
-    for client in [*server.clients, *server.lingering]:
-        client.abort()
-    other.close()
-    for thread in threads:
-        await asyncio.to_thread(thread.join)
-    assert max(held_up_s) < HELD_UP_S
+    data = value * (FLOOD_BYTES // len(value))
+    async with nobody_held_up():
+        threads = [thread for _, peer in flooders for thread in send_and_read(peer, data)]
+        for _ in range(20):
+            await asyncio.to_thread(other.sendall, PING)
+            assert await asyncio.to_thread(other.recv, 100) == PONG
+        for client in [*server.clients, *server.lingering]:
+            client.abort()
+        other.close()
+        for thread in threads:
+            await asyncio.to_thread(thread.join)
 
 
 @pytest.mark.parametrize(
@@ -116,17 +97,16 @@
     ],
     ids=["body in small chunks", "many headers"],
 )
-async def test_calls_of_operators_in_many_pieces_hold_up_nobody(held_up_s: list[float], data: bytes) -> None:
+async def test_calls_of_operators_in_many_pieces_hold_up_nobody(data: bytes) -> None:
     """Guards against processing a call in one go, whose work does not follow from its length."""
     server = admin.AdminServer()
     peers = [await connect_peer(admin.OperatorConnection(server, admin.NO_COUNTS)) for _ in range(16)]
-    threads = [thread for peer in peers for thread in send_and_read(peer, data)]
-    async with asyncio.timeout(MAX_WAIT_S):
+    async with nobody_held_up(), asyncio.timeout(MAX_WAIT_S):
+        threads = [thread for peer in peers for thread in send_and_read(peer, data)]
         while server.connections:
             await asyncio.sleep(0.01)
     for thread in threads:
         await asyncio.to_thread(thread.join)
-    assert max(held_up_s) < HELD_UP_S
 
 
 async def test_a_client_waits_for_one_quantum_of_each_other_at_most(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 import threading
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 
@@ -14,9 +13,9 @@
 
 from decisions.interface import Verdict
 from relay import endpoint_calls
+from tests.loop_iterations import nobody_held_up
 from tests.test_endpoint_calls import Calls
 
-HELD_UP_S = 0.15  # the longest time for which a relay may be held up
 CALLS = 20
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"1\r\nx\r\n"
@@ -47,16 +46,6 @@
         listener.shutdown(socket.SHUT_RDWR)
 
 
-async def longest_iteration_s(done: asyncio.Event) -> float:
-    """Return the most processor time that one iteration of the loop takes until the event."""
-    longest_s = 0.0
-    while not done.is_set():
-        begun_s = time.thread_time()
-        await asyncio.sleep(0)
-        longest_s = max(longest_s, time.thread_time() - begun_s)
-    return longest_s
-
-
 @pytest.mark.parametrize(
     ("refs", "head", "unit", "verdict"),
     [
@@ -80,17 +69,14 @@
         return next_event(connection)
 
     monkeypatch.setattr(h11.Connection, "next_event", counted)
-    done = asyncio.Event()
     with endless(head, unit) as port:
-        watching = asyncio.create_task(longest_iteration_s(done))
         all_calls = [Calls(port) for _ in range(CALLS)]
-        for calls in all_calls:
-            calls.send(*refs)
-        outcomes = [(await calls.outcome(ref)).verdict for calls in all_calls for ref in refs]
-        while any(calls.endpoint_calls.calls for calls in all_calls):
-            await asyncio.sleep(0.01)
-        done.set()
-        assert await watching < HELD_UP_S
+        async with nobody_held_up():
+            for calls in all_calls:
+                calls.send(*refs)
+            outcomes = [(await calls.outcome(ref)).verdict for calls in all_calls for ref in refs]
+            while any(calls.endpoint_calls.calls for calls in all_calls):
+                await asyncio.sleep(0.01)
     assert outcomes == [verdict] * CALLS * len(refs)
     assert events[0] <= CALLS * EVENTS_PER_MESSAGE * len(refs)
 
@@ -104,10 +90,7 @@
         endless_calls = [Calls(port) for _ in range(CALLS)]
         for calls in endless_calls:
             calls.send("m", "n")
-        done = asyncio.Event()
-        watching = asyncio.create_task(longest_iteration_s(done))
-        await asyncio.sleep(0.5)
-        done.set()
-        assert await watching < HELD_UP_S
+        async with nobody_held_up():
+            await asyncio.sleep(0.5)
         for calls in endless_calls:
             calls.endpoint_calls.close()
