Count input by processor time, not by the time that other processes take

Cause: the fair queue measured each unit of work by the loop's clock. On a busy machine, and where a process is stopped for moments, the time for which the relay waited for the processor was charged to the peer whose unit it met: slices were used up, and ordinary input went in line, one unit an iteration.

--- a/relay/fair_queue.py
+++ b/relay/fair_queue.py
@@ -4,20 +4,24 @@
 through what it has received in one go. It asks here before each unit of work (one request, one part of an
 answer). As long as all of them together use little time, a unit is done at once. Beyond that the peers wait
 in line, and each gets a short quantum in turn, while everything else in the event loop runs in between.
+
+Work counts by its processor time: the time in which this process waits for the processor is nobody's work.
 """
 
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
-from typing import ClassVar
+from typing import ClassVar, TypeVar
 
-FREE_SLICE_S = 0.005  # time for input that need not wait in line, of each period
+FREE_SLICE_S = 0.005  # processor time for input that need not wait in line, in each period
 PERIOD_S = 0.02
-LINE_SLICE_S = 0.002  # time for input that waits in line, in one iteration of the event loop
-QUANTUM_S = 0.0002  # time of one peer until the next one has its turn
+LINE_SLICE_S = 0.002  # processor time for input that waits in line, in one iteration of the event loop
+QUANTUM_S = 0.0002  # processor time of one peer until the next one has its turn
 
+Result = TypeVar("Result")
 # Does one unit of work; returns whether there is more that can be done at once.
 Work = Callable[[], bool]
 
@@ -64,11 +68,16 @@
         self._append(turn)
         return turn
 
-    def charge(self, owner: object, used_s: float) -> None:
-        """Count the time of a unit that the task of ``owner`` has done."""
-        self._used_s += used_s
-        if owner is self._holder:
-            self._holder_used_s += used_s
+    def work_for(self, owner: object, unit: Callable[[], Result]) -> Result:
+        """Do a unit of work in the task of ``owner``, count its time, and return its result."""
+        begun_s = time.thread_time()
+        try:
+            return unit()
+        finally:
+            used_s = time.thread_time() - begun_s
+            self._used_s += used_s
+            if owner is self._holder:
+                self._holder_used_s += used_s
 
     def _give_turn(self, owner: object) -> None:
         self._holder, self._holder_used_s = owner, 0.0
@@ -115,8 +124,8 @@
 
     def _work_for_quantum(self, work: Work) -> bool:
         """Do units of one peer's work for a quantum; return whether there is more."""
-        begun_s = self._loop.time()
-        while (more := work()) and self._loop.time() - begun_s < QUANTUM_S:
+        begun_s = time.thread_time()
+        while (more := work()) and time.thread_time() - begun_s < QUANTUM_S:
             pass
-        self._used_s += self._loop.time() - begun_s
+        self._used_s += time.thread_time() - begun_s
         return more
--- a/relay/http.py
+++ b/relay/http.py
@@ -165,12 +165,8 @@
         return self._next_event()
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Return the next event in what has been received, and count the time that it takes."""
-        begun_s = self._loop.time()
-        try:
-            return self._http.next_event()
-        finally:
-            self._queue.charge(self, self._loop.time() - begun_s)
+        """Return the next event in what has been received."""
+        return self._queue.work_for(self, self._http.next_event)
 
     def _receive(self, data: bytes) -> None:
         self.received += data[: MAX_KEPT_ANSWER_BYTES - len(self.received)]
