--- a/fleetlab/fleet.py
+++ b/fleetlab/fleet.py
@@ -14,6 +14,7 @@
 import sys
 import tomllib
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -319,9 +320,10 @@
         if not member.is_alive or member.process is None:
             return
         for name, value in ((resource.RLIMIT_NOFILE, descriptors), (resource.RLIMIT_FSIZE, file_bytes)):
-            if value:
-                _, hard = resource.prlimit(member.process.pid, name)
-                resource.prlimit(member.process.pid, name, (value, hard))
+            with suppress(ProcessLookupError):  # it has ended, and the loop has not reported it yet
+                if value:
+                    _, hard = resource.prlimit(member.process.pid, name)
+                    resource.prlimit(member.process.pid, name, (value, hard))
 
     def reset_limits(self, member: Member) -> None:
         """Restore the limits that a member started with."""
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -196,6 +196,20 @@
     assert not os.path.exists(f"/proc/{member.process.pid}/fd/0")
 
 
+async def test_a_process_that_has_just_ended_needs_no_limits(tmp_path: Path) -> None:
+    """Guards against a play that is ended by a limit on a process whose end is not reported yet."""
+    fleet = make_fleet(tmp_path, [])
+    member = fleet.add("brief", "exec sleep 30", {}, {}, ProcessLimits())
+    await fleet.start(member)
+    assert member.process is not None
+    process_folder = Path(f"/proc/{member.process.pid}")
+    os.kill(member.process.pid, signal.SIGKILL)
+    wait_until(lambda: not process_folder.exists())
+    assert member.is_alive, "the loop has not reported its end"
+    fleet.set_limits(member, 40, 0)
+    await fleet.stop()
+
+
 async def poll_every_10_ms(condition: Callable[[], bool]) -> None:
     """Poll until the condition holds."""
     while not condition():
