--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -512,10 +512,12 @@
         cls, uncertain = message.cls, message.uncertain_since_us >= 0
         if message.attempts >= self.settings.max_attempts or (uncertain and cls.effect is Effect.UNSAFE):
             return self.now_us
-        end_us = message.deadline_us
-        if uncertain and cls.effect is Effect.KEYED:  # a repeat not answered within its window is reset
-            end_us = min(end_us, self._key_window_end_us(message))
-        return end_us - self._min_call_us(cls)
+        end_us = message.deadline_us - self._min_call_us(cls)
+        return (
+            min(end_us, self._key_window_end_us(message))
+            if uncertain and cls.effect is Effect.KEYED
+            else end_us
+        )
 
     def _key_window_end_us(self, message: Message) -> int:
         """When a keyed message that may have run may no longer be repeated."""
