Tests take a message out of a history, and judge its notice, in one place

Last reading of the change: the test of SIGTERM had written both again beside two older places. All assertions stay, on the same histories and times.

--- a/standins/partner.py
+++ b/standins/partner.py
@@ -102,9 +102,7 @@
     slowdown: float = 1.0  # factor on the usual service time
     failure_share: float = 0.0  # share of calls that are answered with 500
     hang_share: float = 0.0  # share of calls that are accepted and never answered
-    endless_share: float = (
-        0.0  # share of good answers to one message whose body comes in chunks without an end
-    )
+    endless_share: float = 0.0  # share of good answers to one message whose body never ends
     shut_until_s: float = 0.0  # until then every call is refused
 
 
--- a/tests/lab/test_planted_bugs.py
+++ b/tests/lab/test_planted_bugs.py
@@ -204,6 +204,28 @@
     ]
 
 
+def take_out_first_message(history: list[records.AnyRecord]) -> records.Handed:
+    """Remove all records of the message that was handed in first, and return how it was handed in."""
+    handed = next(item for item in history if isinstance(item, records.Handed))
+    history[:] = [
+        item for item in history if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])
+    ]
+    return handed
+
+
+def is_notice_late(
+    history: list[records.AnyRecord],
+    handed: records.Handed,
+    disturbances: list[records.AnyRecord],
+    after_s: float,
+) -> bool:
+    """Return whether ``in_time`` objects to a notice that comes ``after_s`` behind a message's deadline."""
+    acceptance = records.Heard(handed.t + 0.01, handed.ref, "ok")
+    notice = records.Noticed(handed.t + handed.left_s + after_s, handed.relay, handed.ref, "bounced")
+    found = run_checkers(Run([*history, handed, acceptance, *disturbances, notice]))["in_time"]
+    return any(handed.ref in finding.text for finding in found)
+
+
 @pytest.mark.parametrize("terminated_s", [None, 0.2, 0.4], ids=["unasked", "before", "after"])
 def test_no_end_is_overdue_from_sigterm_until_the_relay_is_ready_again(
     runs_by_bug: RunsByBug, terminated_s: float | None
@@ -213,10 +235,7 @@
     The message is due 0.3 s after its time; its relay ends 0.6 s after it, and is ready 2 s after it.
     """
     history = clean_history(runs_by_bug)
-    handed = next(item for item in history if isinstance(item, records.Handed))
-    history[:] = [
-        item for item in history if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])
-    ]
+    handed = take_out_first_message(history)
     deadline_s, name = handed.t + handed.left_s, handed.relay
     restart: list[records.AnyRecord] = [
         records.Process(deadline_s + 0.6, name, 1, "exit", -9),
@@ -226,22 +245,15 @@
     if terminated_s is not None:
         restart.insert(0, records.Process(deadline_s + terminated_s, name, 1, "terminate"))
 
-    def is_late(after_s: float) -> bool:
-        acceptance = records.Heard(handed.t + 0.01, handed.ref, "ok")
-        notice = records.Noticed(deadline_s + after_s, name, handed.ref, "bounced")
-        found = run_checkers(Run([*history, handed, acceptance, *restart, notice]))["in_time"]
-        return any(handed.ref in finding.text for finding in found)
-
-    assert is_late(3.4) == (terminated_s != 0.2), "only a SIGTERM before the message is due excuses it"
-    assert is_late(3.6), "1.5 s after the relay is ready it is overdue in any case"
+    late_at_3_4 = is_notice_late(history, handed, restart, 3.4)
+    assert late_at_3_4 == (terminated_s != 0.2), "only a SIGTERM before the message is due excuses it"
+    late_at_3_6 = is_notice_late(history, handed, restart, 3.6)
+    assert late_at_3_6, "1.5 s after the relay is ready it is overdue in any case"
 
 
 def give_up_untried(history: list[records.AnyRecord]) -> None:
     """A relay restarts before it has tried the first message, and bounces it as soon as it is ready."""
-    handed = next(item for item in history if isinstance(item, records.Handed))
-    history[:] = [
-        item for item in history if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])
-    ]
+    handed = take_out_first_message(history)
     t = handed.t
     history += [
         handed,
@@ -411,10 +423,7 @@
 ) -> None:
     """A notice is overdue 1.5 s after the relay is ready, and can reach the platform, for good."""
     history = clean_history(runs_by_bug)
-    handed = next(item for item in history if isinstance(item, records.Handed))
-    history[:] = [
-        item for item in history if handed.ref not in getattr(item, "refs", [getattr(item, "ref", "")])
-    ]
+    handed = take_out_first_message(history)
     due_s = handed.t + handed.left_s
     name = handed.relay
     restarts: list[records.AnyRecord] = [
@@ -429,18 +438,11 @@
         records.Fault(due_s + 2.2, 98, "cut", "begin", [name], to=["platform"]),
         records.Fault(due_s + 3.5, 98, "cut", "end", [name], to=["platform"]),
     ]
-    acceptance: list[records.AnyRecord] = [handed, records.Heard(handed.t + 0.01, handed.ref, "ok")]
-
-    def is_late(disturbances: list[records.AnyRecord], after_s: float) -> bool:
-        notice = records.Noticed(due_s + after_s, name, handed.ref, "bounced")
-        found = run_checkers(Run([*history, *acceptance, *disturbances, notice]))["in_time"]
-        return any(handed.ref in finding.text for finding in found)
-
-    assert not is_late([*restarts], 3.7)
-    assert is_late([*restarts], 3.9)
-    assert not is_late([*restarts, *cut], 4.9)
-    assert is_late([*restarts, *cut], 5.1)
-    assert is_late([*cut], 3.7)
+    assert not is_notice_late(history, handed, restarts, 3.7)
+    assert is_notice_late(history, handed, restarts, 3.9)
+    assert not is_notice_late(history, handed, [*restarts, *cut], 4.9)
+    assert is_notice_late(history, handed, [*restarts, *cut], 5.1)
+    assert is_notice_late(history, handed, cut, 3.7)
 
 
 @pytest.mark.parametrize(("lag_s", "found"), [(0.04, True), (0.06, False)])
