Count a refusal only where its whole answer was read; else the attempt may have run

Their first answer began with 503 or 429 and could not be read behind its headers.

Cause: outcomes were drawn from the head of an answer alone, whatever became of the rest. The log told the hypotheses apart: the library had reported the unreadable rest, and 1 ms later the attempt was logged as "full", so neither the library nor the decision engine was at fault.

Change: refusals, 400, 410, 413 and 504 count once the answer is whole; a call that is called off or times out while the rest is awaited ends as such. A wait that is no number, text beyond ASCII in a batch's answer and lines that contradict each other spoil what they stand in. A wait in the head of a spoilt answer is still heeded.

--- a/relay/answers.py
+++ b/relay/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterator
 
 import h11
 
@@ -26,14 +27,20 @@
 
 
 def parse_wait_us(answer: h11.Response) -> int:
-    """Return the wait that an answer asks for, in microseconds; 0 for none."""
+    """Return the wait that an answer asks for, in microseconds; 0 for none or one that is no number."""
+    return max((max(0, wait_us or 0) for wait_us in _waits_us(answer)), default=0)
+
+
+def _waits_us(answer: h11.Response) -> Iterator[int | None]:
+    """Yield the waits that an answer asks for, in microseconds; None for one that is no number."""
     for name, value in answer.headers:
-        if name == b"x-retry-in-ms":
-            try:
-                return max(0, int(float(value) * 1000))
-            except (ValueError, OverflowError):
-                LOG.warning("hosts: X-Retry-In-Ms is %r, not a number of milliseconds", value)
-    return 0
+        if name != b"x-retry-in-ms":
+            continue
+        try:
+            yield int(float(value) * 1000)
+        except (ValueError, OverflowError):
+            LOG.warning("hosts: X-Retry-In-Ms is %r, not a number of milliseconds", value)
+            yield None
 
 
 def parse_load_report(answer: h11.Response) -> dict[str, float]:
@@ -55,7 +62,11 @@
 
     An endpoint that accepts no more connections answers the first call on a new one with 503 and closes it:
     the connection was turned away. Above a limit or with a full queue it keeps the connection open.
+
+    A wait that is no number makes the whole answer unreadable, unless its status is 200.
     """
+    if answer.status_code != STATUS_DELIVERED and None in _waits_us(answer):
+        return Verdict.ERROR
     if answer.status_code == 503 and (b"x-no-slot", b"1") in answer.headers:
         return Verdict.NOT_SENT
     if new_connection and answer.status_code == 503 and (b"connection", b"close") in answer.headers:
@@ -82,6 +93,17 @@
 
 
 def parse_batch_ends(body: bytes) -> dict[str, str]:
-    """Return the result word of each message of a batch, by message id; malformed lines are left out."""
-    lines = (line.split() for line in body.decode("latin-1").splitlines())
-    return {words[0]: words[1] for words in lines if len(words) == 2}
+    """Return the result word of each message of a batch, by message id; malformed lines are left out.
+
+    So is a message with lines that differ. A body with bytes beyond ASCII is unreadable and tells nothing.
+    """
+    results: dict[str, str] = {}
+    contradicted = set[str]()
+    for line in body.split(b"\n") if body.isascii() else ():
+        words = line.decode("ascii").split()
+        if len(words) != 2:
+            continue
+        ref, result = words
+        if results.setdefault(ref, result) != result:
+            contradicted.add(ref)
+    return {ref: result for ref, result in results.items() if ref not in contradicted}
--- a/relay/calls.py
+++ b/relay/calls.py
@@ -55,7 +55,6 @@
     window_timer: asyncio.TimerHandle | None = None
     request_parts: list[Part] = field(default_factory=list)  # what the request carries, once it is composed
     connection_idle_ms: int | None = None  # how long the connection was idle before the call; None: it is new
-    head_outcome: PartOutcome | None = None  # decided by the head of the answer while the rest is awaited
 
     @property
     def connection_description(self) -> str:
--- a/relay/endpoint_calls.py
+++ b/relay/endpoint_calls.py
@@ -381,8 +381,6 @@
         if call.known_delivered:  # its status line arrived, the rest did not
             LOG.info("hosts: %s was delivered: status 200, then no whole answer: %s", part.id, verdict.value)
             self._settle(call, part, PartOutcome(Verdict.OK, complete=True))
-        elif call.head_outcome is not None:
-            self._settle(call, part, call.head_outcome)
         else:
             self._settle(call, part, PartOutcome(verdict if may_have_run else Verdict.CONNECT_FAILED))
 
@@ -460,12 +458,12 @@
         outcome = PartOutcome(
             verdict, complete, wait_us, report, connection_limit_reached=verdict is Verdict.CONNECT_FAILED
         )
-        if complete:
-            return await self._settle_final(call, connection, outcome)
-        return await self._settle_retryable(call, connection, outcome)
+        if verdict is Verdict.OK:
+            return await self._settle_delivered(call, connection, outcome)
+        return await self._settle_after_whole_answer(call, connection, outcome)
 
-    async def _settle_final(self, call: Call, connection: Connection, outcome: PartOutcome) -> bool:
-        """Settle messages that will not be sent again by the head of the answer; read the rest afterwards."""
+    async def _settle_delivered(self, call: Call, connection: Connection, outcome: PartOutcome) -> bool:
+        """Settle a delivered message by the head of the answer, which proves that alone; read the rest."""
         # Once the outcome is reported, the next message may be sent to the host and should find the
         # connection.
         try:
@@ -478,12 +476,20 @@
             return keep
         return await self._read_rest(connection) and self._keep_connection(call.host, connection)
 
-    async def _settle_retryable(self, call: Call, connection: Connection, outcome: PartOutcome) -> bool:
-        """Settle messages that may be sent again, once the call is over: fully answered, or closed."""
-        call.head_outcome = outcome
-        keep = await self._read_rest(connection) and self._keep_connection(call.host, connection)
+    async def _settle_after_whole_answer(
+        self, call: Call, connection: Connection, outcome: PartOutcome
+    ) -> bool:
+        """Settle messages once the call is over: by a whole answer, or by closing the connection.
+
+        Status and headers prove nothing where the rest of the answer cannot be read: the messages may have
+        run. A wait and a report in them are heeded all the same.
+        """
+        is_whole = await self._read_rest(connection)
+        keep = is_whole and self._keep_connection(call.host, connection)
         if not keep:
             connection.close()
+        if not is_whole:
+            outcome = PartOutcome(Verdict.ERROR, wait_us=outcome.wait_us, load_report=outcome.load_report)
         for part in call.request_parts:
             self._settle_answered(call, part, outcome)
         return keep
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -194,6 +194,33 @@
     assert (await host.wait_request(1)).refs == ["m2"]
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n\x9f\x03q\r\n",
+        b"HTTP/1.1 429 X\r\nX-Retry-In-Ms: 5\r\nContent-Length: 180\r\n\r\n{",
+        b"HTTP/1.1 504 X\r\nContent-Length: 5\r\n\r\n",
+    ],
+    ids=["chunks", "cut", "no body"],
+)
+async def test_an_unsafe_message_is_not_sent_again_behind_an_answer_that_cannot_be_read(
+    world: World, answer: bytes
+) -> None:
+    """Guards against a second run: a first line that denies the run proves nothing without the rest."""
+
+    def spoil(request: Request) -> None:
+        request.writer.write(answer)
+        request.writer.close()
+
+    host = await world.add_host("h1")
+    client = await world.start_relay()
+    host.script.append(spoil)
+    assert await client.submit("m1", "unsafe") == b"+OK"
+    assert (await world.discovery.wait_notice("m1"))["result"] == "dead"
+    assert await client.submit("m2", "unsafe") == b"+OK"
+    assert (await host.wait_request(1)).refs == ["m2"]
+
+
 @pytest.mark.parametrize("status", [503, 504])
 async def test_an_unsafe_message_that_never_ran_is_sent_again(world: World, status: int) -> None:
     host = await world.add_host("h1")
