Take discovery's address from the configuration file, not from an older variable

Cause: config.load preferred $ROUTER_DISCOVERY. The variable is as at the first start, the file is what the platform replaces. The first process followed the signal, and no address is handed over, so neither was at fault; a restart showed the same.

The address in the file counts now. The stand-ins of the tests and of the lab set the variable anew at each move, which hid the fault: they leave it as at the first start.

--- a/fleetlab/lab_run.py
+++ b/fleetlab/lab_run.py
@@ -706,8 +706,9 @@
     async def _move_discovery(self) -> None:
         """Move discovery to new addresses.
 
-        Relays learn theirs from their configuration files and SIGHUP. The old addresses refuse connections,
-        and reset the open ones after ``OLD_DISCOVERY_CLOSE_S``.
+        Relays learn theirs from their configuration files and SIGHUP; the variables of later processes still
+        name the first address. The old addresses refuse connections, and reset the open ones after
+        ``OLD_DISCOVERY_CLOSE_S``.
         """
         moved = []
         for name, address in self._addresses.items():
@@ -717,7 +718,6 @@
             member = self.fleet.members[name]
             discovery = "{}:{}".format(*self._links[name, "platform"].address)
             member.config |= {"discovery": discovery}
-            member.environment |= {"ROUTER_DISCOVERY": discovery}
         await asyncio.gather(*(self.fleet.reload(self.fleet.members[name]) for name in self._addresses))
         for link in moved:
             link.close()
--- a/relay/config.py
+++ b/relay/config.py
@@ -101,10 +101,7 @@
 
 
 def read_discovery_address(environ: Mapping[str, str]) -> Address:
-    """Return the address of discovery from the configuration file as it is now; raise ``ConfigError``.
-
-    ``$ROUTER_DISCOVERY`` is ignored: it was set at the start and may be older than the file.
-    """
+    """Return the address of discovery from the configuration file as it is now; raise ``ConfigError``."""
     try:
         return parse_address(json.loads(Path(environ["ROUTER_CONFIG"]).read_bytes())["discovery"])
     except KeyError as error:
@@ -116,6 +113,8 @@
 def load(environ: Mapping[str, str]) -> Config:
     """Read the file ``$ROUTER_CONFIG``, and the environment variables that take precedence over its keys.
 
+    ``$ROUTER_DISCOVERY`` counts only where the file names no address of discovery: the platform replaces the
+    file when discovery moves, and may start later processes with the variables of the first one.
     Raises ``ConfigError`` if something is missing or invalid.
     """
     try:
@@ -126,7 +125,7 @@
             name=environ.get("ROUTER_NAME") or str(raw["name"]),
             listen=read_value("listen", parse_address, environ.get("ROUTER_LISTEN") or raw["listen"]),
             discovery=read_value(
-                "discovery", parse_address, environ.get("ROUTER_DISCOVERY") or raw["discovery"]
+                "discovery", parse_address, raw.get("discovery") or environ["ROUTER_DISCOVERY"]
             ),
             state_dir=Path(environ["ROUTER_STATE"]),
             seed=read_value("seed", parse_seed, raw.get("seed", 0)),
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -334,6 +334,8 @@
         self.admin_port = 0  # of the operators' address; 0: the relay has none
         self.passed_socket: socket.socket | None = None  # the clients' socket when the platform passes it
         self.processes: list[asyncio.subprocess.Process] = []
+        # ``$ROUTER_DISCOVERY`` of every process: as at the first start, wherever discovery has moved since.
+        self.discovery_variable = ""
         # A random loopback address, so that nothing else on the machine takes the port before the relay does.
         self.address = "127." + ".".join(str(secrets.randbelow(253) + 1) for _ in range(3))
         self.used_ports: set[int] = set()  # returned by free_port
@@ -399,6 +401,7 @@
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
+        self.discovery_variable = self.discovery_variable or f"127.0.0.1:{self.discovery.port}"
         variables = {"TMPDIR": str(self.folder)}
         if self.admin_port:
             variables["ROUTER_ADMIN"] = f"{self.address}:{self.admin_port}"
@@ -409,7 +412,7 @@
             | variables
             | {
                 "ROUTER_CONFIG": str(path),
-                "ROUTER_DISCOVERY": f"127.0.0.1:{self.discovery.port}",
+                "ROUTER_DISCOVERY": self.discovery_variable,
                 "ROUTER_STATE": str(self.state_folder),
             }
         )
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -317,6 +317,21 @@
     assert (await late.wait_request(0)).refs == ["m1"]
 
 
+async def test_the_process_that_follows_a_move_of_discovery_uses_the_new_address(replaceable: World) -> None:
+    """Guards against lost notices: the platform replaces the process with everything else unchanged.
+
+    So the variables still name the address of the first start.
+    """
+    client = await replaceable.start_relay()
+    await replaceable.move_discovery()
+    await upgraded(replaceable)
+    late = await replaceable.add_host("late", block=2)
+    assert await client.submit("m1", dest=2) == b"+OK"
+    assert (await late.wait_request(0)).refs == ["m1"]
+    assert await client.submit("m2", dest=3, d=30) == b"+OK"
+    assert (await replaceable.discovery.wait_notice("m2"))["result"] == "bounced"
+
+
 async def waits_for_the_lock(pid: int) -> None:
     """Wait until a process has opened the lock file; its signal handlers are installed by then."""
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -175,6 +175,27 @@
     assert (await world.discovery.wait_notice("m3"))["result"] == "bounced"
 
 
+async def test_a_restart_behind_a_move_of_discovery_uses_the_new_address(world: World) -> None:
+    """Guards against lost notices: the variables of the first start name an address that nobody serves."""
+    await world.start_relay()
+    await world.move_discovery()
+    client = await world.kill_and_restart()
+    host = await world.add_host("h1")
+    await client.submit("m1")
+    assert (await host.wait_request(0)).refs == ["m1"]
+    await client.submit("m2", dest=2, d=30)
+    assert (await world.discovery.wait_notice("m2"))["result"] == "bounced"
+
+
+async def test_the_variable_names_discovery_where_the_configuration_file_does_not(world: World) -> None:
+    environment = world.environment()
+    path = world.folder / "config.json"
+    content = json.loads(path.read_text(encoding="utf-8"))
+    del content["discovery"]
+    path.write_text(json.dumps(content), encoding="utf-8")
+    assert config.load(environment).discovery == ("127.0.0.1", world.discovery.port)
+
+
 async def test_sighup_with_an_unusable_configuration_file_changes_nothing(world: World) -> None:
     client = await world.start_relay()
     await world.discovery.wait_request(0)
