Follow every signal around a handover, and a moved discovery that nobody was told of

The old process, which had given the relay away, got SIGHUP and ignored it; the new one had read the file before. 6 of 6 messages that a notice has to end were lost.

Change: signals are held back while the state is sent, and followed by whichever process is the relay then. The old process passes SIGHUP on until it exits. The new one looks at the file when it has taken over. SIGTERM gives up a handover that is under way. SIGHUP can no longer end a process before its handlers are set, or while its event loop closes. And where a watch ends or a post gets no answer, the relay looks whether the file has been replaced: the platform may signal a process that has exited early.

The test of shut_down waits for the end of the handover server's task now, as the code does.

--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from typing import Any, cast
 
+if __name__ == "__main__":
+    # Until the event loop handles it. The start ends with a look at the file, so no signal is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Every connection of the relay is plain TCP. With this entry the import of ``ssl`` fails, and asyncio works
 # without TLS; OpenSSL would take a fifth of the memory of a relay that has just started.
 sys.modules.update(cast("dict[str, Any]", {"ssl": None}))
@@ -13,18 +18,26 @@
 import logging
 import os
 import pickle
-import signal
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from itertools import islice
 
 from relay import config
 from relay.admin import PREDECESSOR_ADDRESS_S, AdminServer, RequestHandler
 from relay.clients import Server
+from relay.discovery_address import DiscoveryAddressFile
 from relay.driver import AnyVersionState, Driver, MessageCounts, layout
 from relay.fair_queue import FairQueue
-from relay.handover import HandoverPayload, HandoverServer, ReceivedHandover, RelayLock, become_relay
+from relay.handover import (
+    HandoverPayload,
+    HandoverServer,
+    Predecessor,
+    ReceivedHandover,
+    RelayLock,
+    become_relay,
+)
+from relay.http import Address
 from relay.journal import Journal
 from relay.listeners import Listener, duplicate_socket, listen_at, listen_when_free
 from relay.resource_usage import CostReporter, RelayCounters
@@ -45,8 +58,10 @@
 class Service:
     """One process: it becomes the relay, serves, and leaves its state to the next process or the journal."""
 
-    def __init__(self, cfg: config.Config) -> None:
+    def __init__(self, cfg: config.Config, address_file: DiscoveryAddressFile) -> None:
         self._config = cfg
+        self._address_file = address_file
+        self._predecessor: Predecessor | None = None
         # Computed at the start, while the source files are still those that this process has loaded. Without
         # a passed socket there is no handover, and reading the files would take a fifteenth of a start.
         self._layout = layout(cfg.settings) if cfg.passed_socket is not None else ""
@@ -64,8 +79,11 @@
             # The running relay still answers there for a while where that was its predecessor's address.
             await self.admin.start(await listen_when_free(cfg.admin, PREDECESSOR_ADDRESS_S + 1))
         received = await become_relay(self.lock, self._handover_path, self._layout)
+        if (address := self._address_file.read_if_replaced()) is not None:
+            cfg = replace(cfg, discovery=address)
         self.journal = Journal(cfg.state_dir, cfg.disk_bytes)
         self.driver = Driver(cfg, self.journal, self._on_crash)
+        self.driver.on_discovery_failed = self.follow_replaced_file
         self.server = Server(self.driver, cfg.max_sockets // 2, cfg.memory_bytes)
         if received is None:
             self.driver.start()
@@ -73,13 +91,14 @@
             await self._restore(received)
         sock = listen_at(cfg.listen) if cfg.passed_socket is None else duplicate_socket(cfg.passed_socket)
         await self.server.start(sock)
-        release_sender = received.sender.close if received is not None else lambda: None
+        if received is not None:
+            self._predecessor = Predecessor(received.sender, self.reload_discovery)
         self.cost_reporter = CostReporter(self._resource_counts)
         self.admin.handler = RequestHandler(
-            self.driver, lambda: self.server.serving, release_sender, self.cost_reporter.lines
+            self.driver, lambda: self.server.serving, self._release_predecessor, self.cost_reporter.lines
         )
         if cfg.admin is None:  # there is no health check to release it
-            release_sender()
+            self._release_predecessor()
         else:
             self.cost_reporter.start()
             self._schedule_cost_log()
@@ -94,6 +113,27 @@
         if cfg.passed_socket is not None:
             self.handover_server.start()
 
+    def _release_predecessor(self) -> None:
+        if self._predecessor is not None:
+            self._predecessor.release()
+
+    def reload_discovery(self) -> None:
+        """Read discovery's address again, as SIGHUP asks for; an unusable configuration changes nothing."""
+        self._move_discovery(self._address_file.read())
+
+    def follow_replaced_file(self) -> None:
+        """Do the same if the configuration file has been replaced.
+
+        A signal that reached no process that could follow it is made up for so, once discovery's old address
+        fails.
+        """
+        self._move_discovery(self._address_file.read_if_replaced())
+
+    def _move_discovery(self, address: Address | None) -> None:
+        if address is not None:
+            LOG.info("discovery is at %s:%d by the configuration", *address)
+            self.driver.move_discovery(address)
+
     def _resource_counts(self) -> RelayCounters:
         """The counters of the relay's parts, for the cost report."""
         counts = self.driver.stats.counts
@@ -191,6 +231,8 @@
     def close(self) -> None:
         """Close everything; the lock last."""
         self.handover_server.close()
+        if self._predecessor is not None:
+            self._predecessor.close()
         self.cost_reporter.close()
         if self._cost_timer is not None:
             self._cost_timer.cancel()
@@ -201,7 +243,7 @@
         self.lock.close()
 
 
-async def serve(cfg: config.Config) -> int:
+async def serve(cfg: config.Config, address_file: DiscoveryAddressFile) -> int:
     """Run until SIGTERM or until an error ends the step loop; return the exit code."""
     loop = asyncio.get_running_loop()
     terminated = asyncio.Event()
@@ -209,7 +251,7 @@
         loop.add_signal_handler(number, terminated.set)
     reload_requested = asyncio.Event()  # by a SIGHUP that came before this process was the relay
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    service = Service(cfg)
+    service = Service(cfg, address_file)
     start = loop.create_task(service.start())
     termination = loop.create_task(terminated.wait())
     await asyncio.wait({start, termination}, return_when=asyncio.FIRST_COMPLETED)
@@ -217,9 +259,11 @@
         start.cancel()
         return 0
     await start  # clients that were taken over are served before a shutdown
-    loop.add_signal_handler(signal.SIGHUP, reload_discovery, service.driver)
+    loop.add_signal_handler(signal.SIGHUP, service.reload_discovery)
     if reload_requested.is_set():
-        reload_discovery(service.driver)
+        service.reload_discovery()
+    else:
+        service.follow_replaced_file()
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
     LOG.info("settings: %s; disk %d, sockets %d", cfg.settings, cfg.disk_bytes, cfg.max_sockets)
     stop = loop.create_task(shut_down(terminated, service))
@@ -232,17 +276,6 @@
     return 0
 
 
-def reload_discovery(driver: Driver) -> None:
-    """Handle SIGHUP: read discovery's address again; an unusable configuration changes nothing."""
-    try:
-        address = config.read_discovery_address(os.environ)
-    except config.ConfigError as error:
-        LOG.error("SIGHUP: the configuration cannot be used: %s", error)
-        return
-    LOG.info("SIGHUP: discovery is at %s:%d", *address)
-    driver.move_discovery(address)
-
-
 async def shut_down(terminated: asyncio.Event, service: Service) -> None:
     """Handle SIGTERM: serve while calls can still end, then close client connections between requests.
 
@@ -252,7 +285,7 @@
     await terminated.wait()
     LOG.info("SIGTERM: shutting down")
     driver, server = service.driver, service.server
-    service.handover_server.close()  # from now on only the journal passes messages on
+    await service.handover_server.stop()  # from now on only the journal passes messages on
     start_s = asyncio.get_running_loop().time()
     driver.set_shutdown_deadline(start_s + EXIT_AFTER_SIGTERM_S)
     await until(
@@ -301,12 +334,17 @@
         format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
         datefmt="%H:%M:%S",
     )
+    address_file = DiscoveryAddressFile(os.environ)
     try:
         cfg = config.load(os.environ)
     except config.ConfigError as error:
         LOG.critical("configuration: %s", error)
         return 2
-    return asyncio.run(serve(cfg))
+    with asyncio.Runner() as runner:
+        exit_code = runner.run(serve(cfg, address_file))
+        # The loop gives its handlers back as it closes, and SIGHUP would end the process in its last moment.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    return exit_code
 
 
 if __name__ == "__main__":
--- a/relay/discovery.py
+++ b/relay/discovery.py
@@ -221,9 +221,15 @@
 class NoticeSender:
     """Posts each notice until the platform confirms it, which it does also while discovery is down."""
 
-    def __init__(self, address: Address, on_confirmed: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        on_confirmed: Callable[[str], None],
+        on_failed: Callable[[], None] = lambda: None,
+    ) -> None:
         self._address = address
         self._on_confirmed = on_confirmed
+        self._on_failed = on_failed  # called when a post got no answer
         self._queue: asyncio.Queue[Notice] = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
         self.unconfirmed = 0
@@ -279,6 +285,8 @@
                         LOG.error(
                             "notices: the platform rejected the notice for %s with status 400", batch[0].ref
                         )
+                    if not status:
+                        self._on_failed()
                     await asyncio.sleep(retry_delay_s)
                     retry_delay_s, timeout_s = (
                         min(2 * retry_delay_s, MAX_RETRY_DELAY_S),
--- a/relay/driver.py
+++ b/relay/driver.py
@@ -186,7 +186,9 @@
             on_end=self._list_failed,
             max_line_bytes=line_limit_for_memory(config.memory_bytes),
         )
-        self._notices = NoticeSender(config.discovery, self._notice_confirmed)
+        self._notices = NoticeSender(config.discovery, self._notice_confirmed, self._discovery_failed)
+        # Called when a watch ends or a post of notices fails.
+        self.on_discovery_failed: Callable[[], None] = lambda: None
         self._held: dict[str, HeldMessage] = {}  # by id: messages without a final result
         self._held_body_bytes = 0
         self._max_held_body_bytes = int(config.memory_bytes * HELD_BODIES_MEMORY_SHARE)
@@ -462,6 +464,10 @@
 
     def _list_failed(self) -> None:
         self._post_event(api.EndpointUpdate(api.EndpointUpdateKind.FAILED))
+        self._discovery_failed()
+
+    def _discovery_failed(self) -> None:
+        self.on_discovery_failed()
 
     def _notice_confirmed(self, ref: str) -> None:
         self._journal.record_over(ref)
--- a/relay/handover.py
+++ b/relay/handover.py
@@ -34,6 +34,12 @@
 MAX_SOCKET_PATH_BYTES = 107  # longest address of a Unix socket
 TAKEN = b"taken"  # the new process has received everything
 YOURS = b"yours"  # the old process will not act any more
+RELOAD = b"reload"  # the old process has received SIGHUP since then
+# Signals that the relay handles. While the state is sent they are held back: what they ask for must be done
+# either by this process, if it stays the relay, or by the next one.
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+# Iterations of the event loop in which the handlers of signals that came earlier run, and what they resume.
+SIGNAL_HANDLER_TURNS = 5
 FIRST_NON_STANDARD_FD = 3  # after stdin, stdout and stderr
 PEER_CREDENTIALS = struct.Struct("3i")  # pid, uid, gid
 
@@ -49,7 +55,7 @@
 
 @dataclass(slots=True)
 class ReceivedHandover:
-    """A payload as it was received; the old process exits once ``sender`` is closed."""
+    """A payload as it was received, and the connection to the old process (see ``Predecessor``)."""
 
     any_version_state: dict[str, Any]
     pickled_state: bytes
@@ -183,6 +189,43 @@
     return None
 
 
+class Predecessor:
+    """The process that handed its state over, until it has exited.
+
+    It may receive SIGHUP until then, and passes it on: ``on_reload`` is called for each, and once more when
+    it has exited.
+    """
+
+    def __init__(self, sock: socket.socket, on_reload: Callable[[], None]) -> None:
+        self._sock = sock
+        self._on_reload = on_reload
+        self._loop = asyncio.get_running_loop()
+        sock.setblocking(False)
+        self._loop.add_reader(sock.fileno(), self._on_readable)
+
+    def release(self) -> None:
+        """Let the process exit; may be called again."""
+        with suppress(OSError):  # it has exited already
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def _on_readable(self) -> None:
+        try:
+            message = self._sock.recv(CHUNK_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            message = b""
+        if not message:
+            self.close()
+        self._on_reload()
+
+    def close(self) -> None:
+        """Close the connection, so that the process exits, and listen to it no more."""
+        if self._sock.fileno() >= 0:
+            self._loop.remove_reader(self._sock.fileno())
+            self._sock.close()
+
+
 class HandoverServer:
     """The relay's side: sends its state to a process that requests it at the socket.
 
@@ -220,8 +263,15 @@
             return
         self._task = asyncio.create_task(self._run(self._sock))
 
+    async def stop(self) -> None:
+        """Accept no more requests, and give up one that is being handled; this process stays the relay."""
+        self.close()
+        if self._task is not None:
+            with suppress(asyncio.CancelledError):
+                await self._task
+
     def close(self) -> None:
-        """Accept no more requests."""
+        """Do the same without waiting for its end."""
         if self._task is not None:
             self._task.cancel()
         if self._sock is not None:
@@ -248,18 +298,31 @@
             return
         same_layout = request["layout"] == self._layout
         LOG.info("handover: asked for by a process of %s layout", "the same" if same_layout else "another")
-        await self._quiesce(same_layout)
-        start_s = loop.time()
         try:
+            await self._quiesce(same_layout)
+            await self._send_and_exit(sock, same_layout)
+        except asyncio.CancelledError:
+            await self._resume_serving()
+            raise
+        except Exception as error:
+            LOG.error("handover: not taken, serving on: %r", error)
+            await self._resume_serving()
+
+    async def _send_and_exit(self, sock: socket.socket, same_layout: bool) -> None:
+        """Send all state, then end this process; raises where the other process did not take it."""
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+        try:
+            for _ in range(SIGNAL_HANDLER_TURNS):  # one of those signals may end this process
+                await asyncio.sleep(0)
+            start_s = asyncio.get_running_loop().time()
             # From here on nothing else runs in this process, until the transfer fails or the process ends.
             payload = self._export_payload(same_layout)
             send_payload(sock, payload)
-        except Exception as error:
-            LOG.error("handover: not taken in %.0f ms, serving on: %r", 1e3 * (loop.time() - start_s), error)
-            await self._resume_serving()
-            return
-        LOG.info("handover: %d sockets given in %.0f ms", len(payload.fds), 1e3 * (loop.time() - start_s))
-        close_all_and_exit(sock, self._lock)
+            duration_ms = 1e3 * (asyncio.get_running_loop().time() - start_s)
+            LOG.info("handover: %d sockets given in %.0f ms", len(payload.fds), duration_ms)
+            close_all_and_exit(sock, self._lock)
+        finally:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
 
 def close_fds_except(kept: list[int]) -> None:
@@ -272,18 +335,25 @@
 
 
 def close_all_and_exit(sock: socket.socket, lock: RelayLock) -> None:
-    """Close every descriptor, then the lock; exit once the other process closes the connection or at SIGTERM.
+    """Close every descriptor, then the lock; exit once the other process lets this one go, or at SIGTERM.
 
     The lock comes last: once the other process has it, it closes calls, and a copy of their sockets here
-    would keep them open.
+    would keep them open. SIGHUP is passed on to the other process.
     """
     signal.set_wakeup_fd(-1)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: os._exit(0))
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, lambda *_: pass_reload_on(sock))
     close_fds_except([sock.fileno(), lock.fd])
     lock.close()
     sock.settimeout(EXIT_TIMEOUT_S)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     with suppress(OSError):
         sock.recv(1)
     os._exit(0)
+
+
+def pass_reload_on(sock: socket.socket) -> None:
+    """Tell the process that has taken over that SIGHUP came here."""
+    with suppress(OSError):  # it has ended
+        sock.send(RELOAD)
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -498,14 +498,18 @@
 
         await with_timeout(poll_figure())
 
-    async def move_discovery(self) -> None:
-        """Move discovery to a new port, write that into the configuration, and send the relay SIGHUP."""
-        assert self.process is not None
+    async def replace_discovery(self) -> DiscoveryServer:
+        """Start discovery on a new port and write that into the configuration; return the old server."""
         old_discovery, self.discovery = self.discovery, DiscoveryServer()
         self.discovery.seq, self.discovery.hosts = old_discovery.seq, old_discovery.hosts
         await self.discovery.start()
-        old_discovery.stop()
         self.environment()
+        return old_discovery
+
+    async def move_discovery(self) -> None:
+        """Move discovery to a new port, write that into the configuration, and send the relay SIGHUP."""
+        assert self.process is not None
+        (await self.replace_discovery()).stop()
         self.process.send_signal(signal.SIGHUP)
 
     async def kill(self) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 from typing import cast
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -195,7 +196,7 @@
         terminated = asyncio.Event()
         terminated.set()
         driver = SimpleNamespace(set_shutdown_deadline=lambda _deadline_s: None, idle=True)
-        handover_server = SimpleNamespace(close=lambda: None)
+        handover_server = SimpleNamespace(stop=AsyncMock())
         service = SimpleNamespace(driver=driver, server=server, handover_server=handover_server)
         await relay_main.shut_down(terminated, cast(relay_main.Service, service))
         peer.settimeout(MAX_WAIT_S)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -332,6 +332,105 @@
     assert (await replaceable.discovery.wait_notice("m2"))["result"] == "bounced"
 
 
+async def notice_reaches(world: World, ref: str) -> None:
+    """Hand in a message that only a notice can end, and wait for the notice where discovery is now."""
+    client = await world.connect_client()
+    assert await client.submit(ref, dest=3, d=30) == b"+OK"
+    assert (await world.discovery.wait_notice(ref))["result"] == "bounced"
+
+
+async def test_a_signal_to_a_process_that_has_given_the_relay_away_is_followed(replaceable: World) -> None:
+    """Guards against lost notices: until the new process says yes, the platform signals the old one."""
+    await replaceable.start_relay()
+    old = replaceable.process
+    assert old is not None
+    await replaceable.discovery.wait_request(0)
+    replaceable.admin_port = replaceable.free_port()
+    await replaceable.spawn()
+    await replaceable.discovery.wait_request(1)  # the new process watches
+    for _ in range(2):  # configurations in a row
+        former = await replaceable.replace_discovery()
+        old.send_signal(signal.SIGHUP)
+        await replaceable.discovery.wait_request(0)
+        former.stop()
+    await notice_reaches(replaceable, "m1")
+    while (await replaceable.operator_call("GET", "health"))[0] != 200:
+        await asyncio.sleep(0.02)
+    assert await with_timeout(old.wait()) == 0
+
+
+async def test_a_move_of_discovery_of_which_no_process_was_told_is_followed(replaceable: World) -> None:
+    """Guards against lost notices: the platform may signal a process that has exited early."""
+    await replaceable.start_relay()
+    await upgraded(replaceable)
+    (await replaceable.replace_discovery()).stop()
+    await notice_reaches(replaceable, "m1")
+    late = await replaceable.add_host("late", block=2)
+    client = await replaceable.connect_client()
+    assert await client.submit("m2", dest=2) == b"+OK"
+    assert (await late.wait_request(0)).refs == ["m2"]
+
+
+def receive_state(sock: socket.socket) -> None:
+    """Receive all that the relay sends before it wants to hear ``TAKEN``."""
+    sock.settimeout(5)
+    sizes = json.loads(sock.recv(handover.CHUNK_BYTES))
+    received = fd_count = 0
+    while received < sizes["told"] + sizes["memory"]:
+        received += len(sock.recv(handover.CHUNK_BYTES))
+    while fd_count < sizes["fds"]:
+        _, fds, _, _ = socket.recv_fds(sock, 1, handover.MAX_FDS_PER_MESSAGE)
+        fd_count += len(fds)
+        for fd in fds:
+            os.close(fd)
+
+
+async def start_transfer(world: World) -> socket.socket:
+    """Ask the relay for its state as a new process would, up to the moment before ``TAKEN``."""
+    sock = await request_handover(world, b'{"layout": "odd"}')
+    await asyncio.get_running_loop().run_in_executor(None, receive_state, sock)
+    return sock
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+async def test_a_signal_during_the_transfer_is_kept_for_its_end(
+    replaceable: World, number: signal.Signals
+) -> None:
+    """Guards against a signal that neither process follows."""
+    await replaceable.start_relay()
+    old = replaceable.process
+    assert old is not None
+    sock = await start_transfer(replaceable)
+    old.send_signal(number)
+    sock.send(handover.TAKEN)
+    assert sock.recv(16) == handover.YOURS
+    if number is signal.SIGHUP:
+        assert sock.recv(16) == handover.RELOAD
+        sock.shutdown(socket.SHUT_WR)
+    assert await with_timeout(old.wait()) == 0
+    assert sock.recv(16) == b""
+    sock.close()
+
+
+async def test_a_signal_during_a_transfer_that_fails_is_followed_by_the_old_process(
+    replaceable: World,
+) -> None:
+    """The old process stays the relay."""
+    await replaceable.start_relay()
+    old = replaceable.process
+    assert old is not None
+    sock = await start_transfer(replaceable)
+    former = await replaceable.replace_discovery()
+    old.send_signal(signal.SIGHUP)
+    sock.close()
+    await replaceable.discovery.wait_request(0)
+    former.stop()
+    sock = await start_transfer(replaceable)
+    old.send_signal(signal.SIGTERM)
+    sock.close()
+    assert await with_timeout(old.wait()) == 0
+
+
 async def waits_for_the_lock(pid: int) -> None:
     """Wait until a process has opened the lock file; its signal handlers are installed by then."""
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -12,6 +12,7 @@
 from decisions.engine import DecisionEngine
 from relay import config
 from relay.__main__ import serve
+from relay.discovery_address import DiscoveryAddressFile
 from relay.journal import Journal
 from standins.scripted import ROOT, World, deliver_all, no_answer, with_timeout
 
@@ -175,6 +176,17 @@
     assert (await world.discovery.wait_notice("m3"))["result"] == "bounced"
 
 
+async def test_sighup_never_ends_a_relay_that_shuts_down(world: World) -> None:
+    """Guards against a crash: the event loop gives up its handlers before the process has exited."""
+    await world.start_relay()
+    assert world.process is not None
+    world.process.terminate()
+    while world.process.returncode is None:
+        world.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.001)
+    assert world.process.returncode == 0
+
+
 async def test_a_restart_behind_a_move_of_discovery_uses_the_new_address(world: World) -> None:
     """Guards against lost notices: the variables of the first start name an address that nobody serves."""
     await world.start_relay()
@@ -236,7 +248,7 @@
         raise RuntimeError("broken")
 
     monkeypatch.setattr(DecisionEngine, "step", broken)
-    cfg = config.load(world.environment())
-    assert await with_timeout(serve(cfg)) == 1
+    environment = world.environment()
+    assert await with_timeout(serve(config.load(environment), DiscoveryAddressFile(environment))) == 1
     assert "an error in the step loop ends the process" in caplog.text
     assert "RuntimeError: broken" in caplog.text
