Hand the list of endpoints and the clock to a process of another layout too

Where discovery was silent as well, the new process went by its configured list for as long: its test called the draining endpoint on the code before, and never the one that had been added. Its clock began anew from the machine's, so that a step of that moved the deadlines of held messages.

The state is a further key beside those that any version reads: an earlier build ignores it, and one that gets none starts as before.

--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -27,7 +27,7 @@
 from relay.admin import PREDECESSOR_ADDRESS_S, AdminServer, RequestHandler
 from relay.clients import Server
 from relay.discovery_address import DiscoveryAddressFile
-from relay.driver import AnyVersionState, Driver, MessageCounts, layout
+from relay.driver import AnyVersionState, Driver, MessageCounts, PortableState, layout
 from relay.fair_queue import FairQueue
 from relay.handover import (
     HandoverPayload,
@@ -204,6 +204,7 @@
             "admin": len(admin_fds),
             "ended": [[*name, count] for name, count in counts.ended.items()],
             "attempts": counts.attempts,
+            "portable": None if same_layout else self.driver.export_portable_state().to_json(),
         }
         return HandoverPayload(
             state,
@@ -224,7 +225,7 @@
         if received.pickled_state:
             self.driver.start_from(pickle.loads(received.pickled_state), sockets)
         else:
-            self.driver.start()
+            self.driver.start(PortableState.from_json(state.get("portable")))
         await self.server.restore_clients(state["clients"], clients)
         LOG.info("handover: %d clients and %d bytes taken over", len(clients), len(received.pickled_state))
 
--- a/relay/driver.py
+++ b/relay/driver.py
@@ -29,7 +29,7 @@
 from relay.config import Config
 from relay.discovery import ENDPOINTS_PER_PIECE, Notice, NoticeSender, Watch, line_limit_for_memory
 from relay.endpoint_calls import CallsHandover, EndpointCalls
-from relay.endpoint_list import DirectoryUpdate, ordered_changes, split_changes
+from relay.endpoint_list import DirectoryUpdate, format_list, ordered_changes, parse_list, split_changes
 from relay.http import Address
 from relay.journal import Attempt, Journal, JournalFullError, RecoveredMessage
 from relay.reasons import RefusalReason
@@ -111,6 +111,30 @@
     ever: list[str]  # hosts that endpoint lists have named, latest last
 
 
+@dataclass(frozen=True, slots=True)
+class PortableState:
+    """State for a process of another layout only, as JSON: one of the same layout gets it with the rest."""
+
+    clock_offset_us: int
+    endpoints: DirectoryUpdate  # the whole list
+
+    def to_json(self) -> dict[str, Any]:
+        """Return what ``from_json`` reads, in this and later versions."""
+        formatted = format_list(self.endpoints.version, self.endpoints.endpoints)
+        return {"clock_offset_us": self.clock_offset_us, "endpoints": formatted}
+
+    @classmethod
+    def from_json(cls, raw: Any) -> PortableState | None:
+        """Return the state; None if an earlier version sent none, or, with a log line, if it is malformed."""
+        if raw is None:
+            return None
+        try:
+            return cls(int(raw["clock_offset_us"]), parse_list(raw["endpoints"]))
+        except (KeyError, TypeError, ValueError) as error:
+            LOG.error("handover: the list and the clock cannot be read: %r", error)
+            return None
+
+
 def layout(settings: Settings) -> str:
     """Identify the layout of ``SameLayoutState``: equal only where one process can use the other's state.
 
@@ -208,10 +232,19 @@
         self._configured_hosts = config.initial_hosts
         self.module_us = 0  # us spent in the decision module's steps
 
-    def start(self) -> None:
-        """Resume the journal's unfinished messages and follow the list; called before clients are served."""
+    def start(self, former: PortableState | None = None) -> None:
+        """Resume the journal's unfinished messages and follow the list; called before clients are served.
+
+        ``former`` is of a process of another layout that was the relay until now.
+        """
+        endpoints = self._configured_hosts
+        if former is not None:
+            self.clock = Clock(former.clock_offset_us)
+            if former.endpoints.version >= endpoints.version:
+                endpoints = former.endpoints
+        self._watch.version = endpoints.version
         self._notices.start()
-        self._apply_list(self._configured_hosts, api.EndpointUpdateKind.CACHED)
+        self._apply_list(endpoints, api.EndpointUpdateKind.CACHED)
         self._resume_from_journal()
 
     def _resume_from_journal(self, known: Set[str] = frozenset()) -> None:
@@ -250,6 +283,13 @@
             fds,
         )
 
+    def export_portable_state(self) -> PortableState:
+        """State for a process of another layout, beside that for any version."""
+        endpoints = tuple(self._endpoint_calls.endpoints.values())
+        return PortableState(
+            self.clock.offset_us, DirectoryUpdate(self._watch.version, whole=True, endpoints=endpoints)
+        )
+
     def import_any_version_state(self, imported: AnyVersionState) -> None:
         """Take over the state of a process of any version; called before the start."""
         self._finished_ids.update(dict.fromkeys(imported.over))
--- a/relay/endpoint_list.py
+++ b/relay/endpoint_list.py
@@ -10,7 +10,7 @@
 import json
 import logging
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -19,6 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 LISTING_BY_HEALTH = {"SERVING": Listing.READY, "DRAINING": Listing.DRAINING, "DELETED": Listing.GONE}
+HEALTH_BY_LISTING = {listing: health for health, listing in LISTING_BY_HEALTH.items()}
 # The order in which changes are applied: those that stop calls come before those that allow them.
 LISTING_PRIORITY = (
     Listing.GONE,
@@ -75,6 +76,23 @@
         raise ValueError(f"not a list of hosts: {error!r}") from None
 
 
+def format_list(version: int, endpoints: Iterable[ListedEndpoint]) -> dict[str, Any]:
+    """Return a whole list in the directory's format, for ``parse_list``."""
+    hosts = [
+        {
+            "host": listed.entry.host,
+            "dial": f"{listed.address[0]}:{listed.address[1]}",
+            "site": listed.entry.zone,
+            "class": listed.entry.kind,
+            "block": listed.entry.dest,
+            "health": HEALTH_BY_LISTING[listed.entry.listing],
+            "share": listed.entry.rate_hint,
+        }
+        for listed in endpoints
+    ]
+    return {"seq": version, "whole": True, "hosts": hosts}
+
+
 class IncrementalListParser:
     """Parses one line with a list, a bounded number of endpoints at a time."""
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,7 +12,10 @@
 
 import pytest
 
+from decisions.interface import Entry, Listing
 from relay import handover
+from relay.driver import PortableState
+from relay.endpoint_list import DirectoryUpdate, ListedEndpoint
 from standins.scripted import (
     Client,
     World,
@@ -190,6 +193,39 @@
     assert replaceable.discovery.notices == []
 
 
+async def test_a_process_of_another_layout_knows_the_list_though_discovery_is_silent(
+    replaceable: World,
+) -> None:
+    """Guards against calls to an endpoint that drains: the configured list is as old as the first start."""
+    drains = await replaceable.add_host("h1")
+    await replaceable.add_host("h2")
+    replaceable.known_hosts = [dict(entry) for entry in replaceable.discovery.hosts.values()]
+    client = await replaceable.start_relay()
+    await replaceable.wait_figure("endpoints_known", 2)
+    replaceable.discovery.change_entry("h1", health="DRAINING")
+    stays = await replaceable.add_host("h3")
+    replaceable.discovery.change_entry("h2", health="DELETED")
+    await replaceable.wait_figure("endpoints_known", 2)
+    replaceable.settings["over_share_worth"] = 0.2  # another layout
+    replaceable.discovery.go_down()
+    await upgraded(replaceable)
+    refs = [f"m{number}" for number in range(6)]
+    for ref in refs:
+        assert await client.submit(ref) == b"+OK"
+    await stays.wait_until(lambda: {ref for call in stays.requests for ref in call.refs} == set(refs))
+    assert drains.requests == replaceable.hosts["h2"].requests == []
+
+
+def test_a_clock_and_a_list_pass_to_another_version_as_json() -> None:
+    """Deadlines are kept in this process's time, also where the machine's clock has been stepped."""
+    entry = Entry("h1", 1, "a", "banks", Listing.DRAINING, 0.5)
+    listed = ListedEndpoint(entry, ("127.0.0.1", 80))
+    former = PortableState(123, DirectoryUpdate(7, whole=True, endpoints=(listed,)))
+    assert PortableState.from_json(json.loads(json.dumps(former.to_json()))) == former
+    assert PortableState.from_json(None) is None
+    assert PortableState.from_json({"endpoints": []}) is None
+
+
 async def request_handover(world: World, *messages: bytes) -> socket.socket:
     """Connect as a new process would and send these messages, then nothing."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
