Count all input that waits, and read less where it has reached its share of the memory

Cause: up to 32 KB of each client were read before it had its turn, and only what was left unfinished behind its turn was counted; a client that reads no replies was never counted. At the operators' address heads of 1,400 short headers took 45 times their bytes.

Change: every byte that has been read is counted, and reads shrink as the total comes near its share. Operators' calls of over 64 lines are answered with 431 unparsed.

--- a/relay/admin.py
+++ b/relay/admin.py
@@ -27,6 +27,7 @@
 LINGER_TIMEOUT_S = 0.4  # seconds that a caller has to close its side after the answer
 MAX_CONNECTIONS = 16  # a connection beyond this replaces the least recently active one
 MAX_BODY_BYTES = 4096  # of a call's body, which is ignored
+MAX_HEAD_LINES = 64  # of a call; each header that has been parsed takes some 200 bytes, however short it is
 READ_BUFFER_BYTES = 8 * 1024  # read from one connection in one event loop iteration
 MAX_CALL_BYTES = MAX_HEAD_BYTES + 2 * READ_BUFFER_BYTES  # of a call with its body and the framing of that
 HEALTH_PATH, STATS_PATH, COST_PATH = "/admin/health", "/admin/stats", "/admin/cost"
@@ -152,6 +153,8 @@
         self._queue = FairQueue.of_running_loop()
         self._queued = False  # what has arrived waits for its turn
         self._received_bytes = 0
+        self._head_lines = 0  # received so far
+        self._head_received = False  # whether an empty line has been seen
         self._body_bytes = 0  # processed so far
         self._answered = False
         self._transport: asyncio.Transport | None = None
@@ -189,6 +192,13 @@
         if self._received_bytes > MAX_CALL_BYTES:
             self._send_answer(Answer(413, "the call is too long\n"))
             return
+        if not self._head_received:
+            head, end, _ = data.partition(b"\r\n\r\n")
+            self._head_lines += head.count(b"\n")
+            self._head_received = bool(end)
+        if self._head_lines > MAX_HEAD_LINES:
+            self._send_answer(Answer(431, "the call has too many headers\n"))
+            return
         self._http.receive_data(data)
         if not self._queued:
             self._queued = True
--- a/relay/clients.py
+++ b/relay/clients.py
@@ -24,8 +24,10 @@
 MAX_REQUEST_BYTES = MAX_BODY_BYTES + 4096
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,128}")  # valid in an HTTP header and in a line of a batch
 NUMBER_PATTERN = re.compile(rb"[0-9]{1,12}")
-# Share of the memory limit that unfinished requests of all clients together may take.
-UNFINISHED_MEMORY_SHARE = 0.125
+# Shares of the memory limit: all that has been read of clients and not been answered, beyond which only
+# ``MIN_READ_BYTES`` are read at once, and of it unfinished requests, beyond which one is refused.
+BUFFERED_MEMORY_SHARE = 0.09375
+UNFINISHED_MEMORY_SHARE = 0.0625
 # Seconds for a whole request: a connection without one may be closed after 2 s and must be closed by 3 s.
 REQUEST_TIMEOUT_S = 2.5
 LINGER_TIMEOUT_S = 0.4  # a connection whose write side is closed is closed after this long without data
@@ -41,6 +43,7 @@
 MAX_DEST = 65535
 MAX_PARAMETER_BYTES = 4096  # of the list of names and values in a request
 READ_BUFFER_BYTES = 16 * 1024  # read from one connection in one event loop iteration
+MIN_READ_BYTES = 256  # the same, where the buffers of all clients have reached their share of the memory
 MAX_UNREAD_REPLY_BYTES = 4096  # replies that a client has not read, beyond which it is not read either
 UNREAD_REPLY_TIMEOUT_S = 2.5  # a client that goes on for so long without reading its replies is closed
 MAX_OTHER_VALUES = 32  # RESP values in a row that are not requests, after which a connection is closed
@@ -114,7 +117,9 @@
         self._queue = FairQueue.of_running_loop()
         self._buffer = bytearray(data)  # received after the last request that was answered
         self._min_request_bytes = 0  # the buffer cannot hold a complete request before it has this size
-        self._counted_bytes = 0  # this connection's part of the server's unfinished_bytes
+        self._counted_bytes = 0  # this connection's part of the server's buffered_bytes
+        self._unfinished_bytes = 0  # this connection's part of the server's unfinished_bytes
+        self._read_view = server.read_buffer  # into which the next bytes are read
         # Event loop time at which the first request must be complete. None: the usual timeout applies.
         # math.inf: another process has already served this client, and no request is being received.
         self._request_due_s = request_due_s
@@ -138,13 +143,13 @@
         if self._request_due_s != math.inf:
             self._start_request_timer()
         self._server.add_connection(self)
+        self._update_buffered_bytes()
         if self._buffer:  # another process has read it
             self._answer_requests()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._cancel_timer()
-        self._buffer.clear()
-        self._update_unfinished_bytes(0)
+        self._clear_buffer()
         self._server.remove_connection(self)
 
     def pause_writing(self) -> None:
@@ -179,11 +184,12 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer into which the next bytes are read; all connections share it."""
-        return self._server.read_buffer
+        self._read_view = self._server.next_read_buffer()
+        return self._read_view
 
     def buffer_updated(self, nbytes: int) -> None:
-        self._more_unread = nbytes == len(self._server.read_buffer)
-        self.data_received(self._server.read_buffer[:nbytes])
+        self._more_unread = nbytes == len(self._read_view)
+        self.data_received(self._read_view[:nbytes])
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Answer every complete request, at once or when the connection has its turn."""
@@ -192,6 +198,7 @@
             return
         self._server.clients.move_to_end(self)
         self._buffer += data
+        self._update_buffered_bytes()
         if len(self._buffer) < self._min_request_bytes:
             self._answer_next()  # there is no complete request, so this takes no turn
         elif self.has_queued_requests:
@@ -234,6 +241,7 @@
             return False
         words, end = found
         del self._buffer[:end]
+        self._update_buffered_bytes()
         self._min_request_bytes = 0
         self._cancel_timer()
         self._transport.write(self._server.answer(words))
@@ -265,10 +273,20 @@
             found_any = True
         return found_any
 
+    def _clear_buffer(self) -> None:
+        self._buffer.clear()
+        self._update_buffered_bytes()
+        self._update_unfinished_bytes(0)
+
+    def _update_buffered_bytes(self) -> None:
+        """Correct the server's total for the bytes that are buffered here now."""
+        self._server.buffered_bytes += len(self._buffer) - self._counted_bytes
+        self._counted_bytes = len(self._buffer)
+
     def _update_unfinished_bytes(self, size: int) -> None:
         """Correct the server's total for the bytes of an unfinished request that are buffered here now."""
-        self._server.unfinished_bytes += size - self._counted_bytes
-        self._counted_bytes = size
+        self._server.unfinished_bytes += size - self._unfinished_bytes
+        self._unfinished_bytes = size
 
     def _start_request_timer(self) -> None:
         """Limit the wait for a complete request: silent peers and partial requests occupy descriptors."""
@@ -319,9 +337,8 @@
         loop = asyncio.get_running_loop()
         self._cancel_timer()
         self._write_closed, self.has_queued_requests = True, False
-        self._buffer.clear()
+        self._clear_buffer()
         self._received_since_check = False
-        self._update_unfinished_bytes(0)
         self._server.move_to_lingering(self, reason)
         self._transport.write(line)
         with suppress(OSError):  # the peer has reset the connection, and the loop has not reported it yet
@@ -385,7 +402,9 @@
     def __init__(self, driver: Driver, max_clients: int, memory_bytes: int) -> None:
         self._driver = driver
         self.max_clients = max_clients
-        # Unfinished requests are limited together: a burst of large ones could fill the memory.
+        # What clients have sent is limited together: a burst of large requests could fill the memory.
+        self.buffered_bytes = 0  # of requests that wait for their turn, and of unfinished ones
+        self.max_buffered_bytes = int(memory_bytes * BUFFERED_MEMORY_SHARE)
         self.unfinished_bytes = 0
         self.max_unfinished_bytes = int(memory_bytes * UNFINISHED_MEMORY_SHARE)
         self.clients: OrderedDict[ClientConnection, None] = OrderedDict()  # least recently active first
@@ -404,6 +423,11 @@
         )
         await self.listener.start()
 
+    def next_read_buffer(self) -> memoryview:
+        """Return the part of the shared buffer that the next read may fill: no more than there is room."""
+        room = self.max_buffered_bytes - self.buffered_bytes
+        return self.read_buffer[: max(MIN_READ_BYTES, room)]
+
     def export_clients(self) -> tuple[list[dict[str, Any]], list[int]]:
         """Return the handover state of each client that another process can serve, and the descriptors."""
         exported = [found for client in self.clients if (found := client.handover_state()) is not None]
