Keep no destinations that no list names, and no expiries of messages that are over

Cause: a destination is made for each number that a message names, and was dropped every 5 s only, and not while it was still to be checked, as it is while all slots are taken.

Tests: three on the engine and one of six by a real process failed on the code before.

--- a/decisions/engine.py
+++ b/decisions/engine.py
@@ -109,6 +109,8 @@
 LOWERED_LIMIT_RATIO = 0.75
 TRUSTED_IDLE_DOWN_FACTOR = 0.5  # factor of the trusted idle age when a reused connection was cut
 TRUSTED_IDLE_UP_FACTOR = 1.005  # factor of the trusted idle age at any other end of a call
+MAX_NEW_DESTS = 256  # destinations beyond twice those kept, above which those without endpoints are dropped
+MAX_PAST_EXPIRIES = 4096  # entries of the expiry heap whose messages are over
 STATUS_LOG_INTERVAL_US = 5_000_000  # us between log lines on destinations that hold messages
 MAX_GONE_ENDPOINTS = 1024  # endpoints that left the list and are still remembered
 # By effect, in the order of Effect: the less harm a repeat does, the sooner the message goes in a trial.
@@ -132,6 +134,7 @@
         self.endpoints = dict[str, Endpoint]()  # by host
         self.busy_endpoints = dict[str, Endpoint]()  # those with calls out, by host
         self.dests = dict[int, Destination]()
+        self.kept_dests = 0  # destinations that were left when others were last dropped
         self.banned = set[str]()  # hosts banned by operators, listed or not
         self.key_queues = dict[str, list[Message]]()  # by key: messages in order of arrival
         # By key: until when an attempt that may still run is given time to end.
@@ -209,6 +212,8 @@
             self.next_status_us = now_us + STATUS_LOG_INTERVAL_US
             self._log_held()
             self._forget_stale()
+        elif len(self.dests) > 2 * self.kept_dests + MAX_NEW_DESTS:
+            self._forget_stale()
         # Asks a directory that does not push the list; one without an answer is repeated.
         if 0 <= self.next_ask_us <= now_us:
             self.actions.append(Subscribe())
@@ -223,7 +228,7 @@
         return self.actions
 
     def _forget_stale(self) -> None:
-        """Drop cooldowns that are over and endpoints and destinations that left the list.
+        """Drop cooldowns that are over, what is not listed any more, and expiries of messages that are over.
 
         They would pile up in a long-lived process. Of the endpoints that left, the latest MAX_GONE_ENDPOINTS
         are kept. One that comes back after more than that is taken for a new one, and so for a cold one.
@@ -234,9 +239,14 @@
         gone = [e for e in self.endpoints.values() if e.listing is Listing.GONE and not e.calls]
         for endpoint in gone[: max(0, len(gone) - MAX_GONE_ENDPOINTS)]:
             del self.endpoints[endpoint.host], self.dests[endpoint.dest].endpoints[endpoint.host]
-        needed = self.dests_to_check.keys() | {message.dest for message in self.messages.values()}
+        needed = {message.dest for message in self.messages.values()}
         for number in [n for n, dest in self.dests.items() if not dest.endpoints and n not in needed]:
             del self.dests[number]
+            self.dests_to_check.pop(number, None)
+        self.kept_dests = len(self.dests)
+        if len(self.expiry_heap) > 2 * len(self.messages) + MAX_PAST_EXPIRIES:
+            self.expiry_heap = [entry for entry in self.expiry_heap if entry[2] in self.messages]
+            heapq.heapify(self.expiry_heap)
 
     def _log_held(self) -> None:
         """Log for each destination that holds messages what limits its calls."""
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import threading
+import time
 from contextlib import suppress
 from types import SimpleNamespace
 from typing import cast
@@ -14,8 +15,9 @@
 from relay import admin, clients, fair_queue
 from relay.driver import Driver
 from relay.reasons import EndReason
-from standins.scripted import MAX_WAIT_S, encode_command, with_timeout
+from standins.scripted import MAX_WAIT_S, Request, World, encode_command, with_timeout
 from tests.loop_iterations import nobody_held_up
+from tests.test_client_memory import peak_memory_bytes
 
 PING = encode_command(b"PING")
 PONG = b"+PONG\r\n"
@@ -240,3 +242,90 @@
     assert received.count(b"-ERR") == count
     client.abort()
     peer.close()
+
+
+FULL_SPEED_S = 5.0
+ANSWER_WITHIN_S = 0.4  # PROTOCOL: how long a client waits
+NOTICE_WITHIN_S = 0.3  # PROTOCOL: behind the end of a message's time
+OWN_MESSAGE_MS = 500
+MEMORY_MB = 32  # TERMS: the smallest limit
+
+
+def unsound_message(number: int, **fields: str) -> bytes:
+    """Return a message without time left."""
+    values = {"c": "safe", "t": "acme_corp", "d": "0", "k": "k", "dest": "2"} | fields
+    listed = ",".join(f"{name}={value}" for name, value in values.items())
+    return encode_command(b"ENQUEUE", b"o%d" % number, b"f%d" % number, listed.encode(), b"")
+
+
+def send_at_full_speed(world: World, requests: list[bytes], until_s: float) -> None:
+    """Send requests on one connection, with all answers read, and then the same again."""
+    with socket.create_connection((world.address, world.port)) as peer:
+        peer.settimeout(MAX_WAIT_S)
+        reader = threading.Thread(target=read_all, args=(peer,), daemon=True)
+        reader.start()
+        with suppress(OSError):
+            while time.monotonic() < until_s:
+                for at in range(0, len(requests), 100):
+                    peer.sendall(b"".join(requests[at : at + 100]))
+                    if time.monotonic() >= until_s:
+                        break
+            peer.shutdown(socket.SHUT_RDWR)
+        reader.join()
+
+
+def read_all(peer: socket.socket) -> None:
+    """Read until the connection ends."""
+    with suppress(OSError):
+        while peer.recv(1 << 20):
+            pass
+
+
+@pytest.mark.parametrize(
+    "requests",
+    [
+        [PING] * 10_000,
+        [encode_command(b"C%d" % number) for number in range(50_000)],
+        [unsound_message(number, c=f"c{number}") for number in range(50_000)],
+        [unsound_message(number, d="soon") for number in range(50_000)],
+        [unsound_message(number, t=f"t{number}", k=f"k{number}") for number in range(50_000)],
+        [unsound_message(number, dest=str(2 + number), t=f"t{number}") for number in range(50_000)],
+    ],
+    ids=["pings", "commands", "classes", "unsound lists", "tenants", "destinations"],
+)
+async def test_one_client_at_full_speed_neither_delays_others_nor_fills_the_memory(
+    world: World, requests: list[bytes]
+) -> None:
+    """Guards against work and memory that one connection can take, also under ever new names."""
+    world.memory_mb = MEMORY_MB
+    await world.add_host("h1")
+    client = await world.start_relay()
+    loop = asyncio.get_running_loop()
+    due_s = dict[str, float]()
+    ended_s = dict[str, float]()
+    reply = world.discovery.default_reply
+
+    def timed_reply(request: Request) -> None:
+        for ref in due_s:
+            if b'"%s"' % ref.encode() in request.body:
+                ended_s[ref] = loop.time()
+        reply(request)
+
+    world.discovery.default_reply = timed_reply
+    until_s = time.monotonic() + FULL_SPEED_S
+    flood = asyncio.create_task(asyncio.to_thread(send_at_full_speed, world, requests, until_s))
+    slowest_s = 0.0
+    while time.monotonic() < until_s:
+        sent_s, ref = loop.time(), f"own{len(due_s)}x"
+        answer = await client.submit(ref, d=OWN_MESSAGE_MS, dest=65_000)
+        slowest_s = max(slowest_s, loop.time() - sent_s)
+        if answer == b"+OK":
+            due_s[ref] = sent_s + OWN_MESSAGE_MS / 1000
+        await asyncio.sleep(0.05)
+    await flood
+    await asyncio.sleep(OWN_MESSAGE_MS / 1000 + NOTICE_WITHIN_S)
+    assert slowest_s < ANSWER_WITHIN_S
+    assert len(due_s) > 10
+    late_by_s = {ref: ended_s.get(ref, float("inf")) - due_s[ref] for ref in due_s}
+    assert max(late_by_s.values()) < NOTICE_WITHIN_S
+    assert peak_memory_bytes(world) < MEMORY_MB * 1_000_000
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,9 +8,9 @@
 import pytest
 
 from decisions import interface as api
-from decisions.engine import DecisionEngine
+from decisions.engine import MAX_NEW_DESTS, MAX_PAST_EXPIRIES, DecisionEngine
 from decisions.state import Destination, Endpoint
-from tests.support import SAFE, arrival, endpoint_update, entry, sends, settings
+from tests.support import SAFE, SECOND, SETTINGS, arrival, ended, endpoint_update, entry, sends, settings
 
 ROOT = Path(__file__).resolve().parent.parent
 ENGINE_SOURCE = (ROOT / "decisions" / "engine.py").read_text(encoding="utf-8")
@@ -76,3 +76,28 @@
     actions = relay.step(5_000, [arrival(f"m{number}") for number in range(500)])
     assert 0 < len(sends(actions)) < 8
     assert len(asked) <= 2 * 8
+
+
+@pytest.mark.parametrize("slots_taken", [False, True])
+def test_messages_for_ever_new_destinations_leave_nothing_behind(slots_taken: bool) -> None:
+    """Guards against memory that grows with each destination that a client makes up."""
+    engine = DecisionEngine(settings(), 1)
+    engine.step(0, [endpoint_update(entry("h1"))])
+    if slots_taken:
+        engine.step(1, [arrival(f"hangs{number}") for number in range(SETTINGS.slots)])
+    for number in range(20_000):
+        engine.step(2 + number, [arrival(f"m{number}", dest=2 + number, left_us=1)])
+    assert len(engine.dests) <= 2 * MAX_NEW_DESTS
+    assert len(engine.dests_to_check) <= len(engine.dests)
+
+
+def test_messages_that_are_over_long_before_their_time_leave_nothing_behind() -> None:
+    """Guards against memory that grows with each message of a client that gives them a day."""
+    engine = DecisionEngine(settings(), 1)
+    engine.step(0, [endpoint_update(entry("h1"))])
+    now_us = 1_000_000
+    for number in range(20_000):
+        now_us += 6_000
+        for send in sends(engine.step(now_us, [arrival(f"m{number}", left_us=86_400 * SECOND)])):
+            engine.step(now_us + 1, [ended(send)])
+    assert len(engine.expiry_heap) <= 2 * len(engine.messages) + MAX_PAST_EXPIRIES + 1_000
