Take on no message of a client that has closed its side of the connection

Cause: what was sent before the close is read first, and the system was never asked for the state of the connection, which tells of the close at once. And until connection_lost runs, requests were answered on a connection whose write had failed.

Two fakes of Server.answer take the new argument.

--- a/relay/clients.py
+++ b/relay/clients.py
@@ -8,7 +8,7 @@
 import re
 import socket
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any
 
@@ -17,6 +17,7 @@
 from relay.fair_queue import FairQueue
 from relay.listeners import Listener
 from relay.reasons import EndReason, RefusalReason
+from relay.tcp_state import peer_has_closed
 
 LOG = logging.getLogger(__name__)
 MAX_BODY_BYTES = 64 * 1024
@@ -234,7 +235,9 @@
     def _answer_complete_request(self) -> bool:
         """Answer the request at the start of the buffer; return False if it is not complete."""
         assert self._transport is not None
-        if self._write_paused or not self._buffer or len(self._buffer) < self._min_request_bytes:
+        if self._write_paused or self._transport.is_closing():
+            return False
+        if not self._buffer or len(self._buffer) < self._min_request_bytes:
             return False
         if (found := resp.parse_request(self._buffer, MAX_REQUEST_BYTES)) is None:
             self._min_request_bytes = resp.min_request_size(self._buffer)
@@ -244,15 +247,20 @@
         self._update_buffered_bytes()
         self._min_request_bytes = 0
         self._cancel_timer()
-        self._transport.write(self._server.answer(words))
+        self._transport.write(self._server.answer(words, self._peer_has_closed))
         self._other_values = self._other_values + 1 if words is None else 0
         if self._other_values >= MAX_OTHER_VALUES:
             self._close_writing(EndReason.NO_REQUESTS)
         return not self._write_closed
 
+    def _peer_has_closed(self) -> bool:
+        assert self._transport is not None
+        return peer_has_closed(self._transport.get_extra_info("socket"))
+
     def _check_unfinished_request(self) -> None:
         """Limit the size of an unfinished request and the time it takes; close if a close was requested."""
-        if self._write_closed or self._write_paused:
+        assert self._transport is not None
+        if self._write_closed or self._write_paused or self._transport.is_closing():
             return
         if len(self._buffer) > MAX_REQUEST_BYTES:
             raise resp.ProtocolError("a request is too long")
@@ -504,8 +512,12 @@
         if self.listener is not None:
             self.listener.close()
 
-    def answer(self, request: list[bytes] | None) -> bytes:
-        """Return the reply to one complete request; None is a RESP value that is not a request."""
+    def answer(self, request: list[bytes] | None, client_has_left: Callable[[], bool]) -> bytes:
+        """Return the reply to one complete request; None is a RESP value that is not a request.
+
+        No message is taken on of a client that has closed its side: it got no reply, and hands the message in
+        again. One that still reads is told so by the refusal.
+        """
         if request is None:
             return b"-ERR a request is an array of bulk strings\r\n"
         command = request[0].upper()
@@ -519,7 +531,12 @@
             return b"-ERR %s\r\n" % str(error).encode()
         if not self._driver.knows_class(message.cls):
             return b"-ERR unknown class\r\n"
-        refusal = RefusalReason.SHUTDOWN if self.shutting_down else self._driver.accept(message, body)
+        if self.shutting_down:
+            refusal: RefusalReason | None = RefusalReason.SHUTDOWN
+        elif client_has_left():
+            refusal = RefusalReason.CLIENT_LEFT
+        else:
+            refusal = self._driver.accept(message, body)
         if refusal is not None:
             self._driver.count_refusal(message.cls, refusal)
             return self.busy_reply
--- a/relay/reasons.py
+++ b/relay/reasons.py
@@ -22,6 +22,7 @@
     """Why a message was refused."""
 
     SHUTDOWN = "shutdown"
+    CLIENT_LEFT = "client_left"  # its client closed the connection before the message was taken on
     HELD_MESSAGES = "held_messages"  # the relay holds as many messages as it may
     HELD_BODIES = "held_bodies"  # the bodies of held messages take too much memory
     JOURNAL = "journal"  # the journal is full
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -210,7 +210,7 @@
     """The client gets no reply and repeats it on a new connection: accepted here too, it would run twice."""
     asked = list[list[bytes] | None]()
 
-    def answer(words: list[bytes] | None) -> bytes:
+    def answer(words: list[bytes] | None, _client_has_left: object) -> bytes:
         asked.append(words)
         return b"+OK\r\n"
 
@@ -286,7 +286,7 @@
         return parse_request(data, max_bulk_bytes)
 
     monkeypatch.setattr(resp, "parse_request", counted)
-    monkeypatch.setattr(server, "answer", lambda words: b"+%d\r\n" % len(words[1]))
+    monkeypatch.setattr(server, "answer", lambda words, _: b"+%d\r\n" % len(words[1]))
     client = clients.ClientConnection(server)
     left, right = socket.socketpair()
     await asyncio.get_running_loop().connect_accepted_socket(lambda: client, left)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import signal
 
 import pytest
 
@@ -221,6 +222,40 @@
     assert (await host.wait_request(1)).refs == ["m2"]
 
 
+@pytest.mark.parametrize("accepted", [True, False], ids=["served before", "in the backlog"])
+async def test_requests_of_a_client_that_has_left_are_not_sent_on(world: World, accepted: bool) -> None:
+    """Guards against a second effect: the client got no reply in time, and has come again elsewhere."""
+    host = await world.add_host("h1")
+    first = await world.start_relay()
+    assert world.process is not None
+    leaving = await world.connect_client() if accepted else None
+    world.process.send_signal(signal.SIGSTOP)
+    leaving = leaving or await world.connect_client()
+    leaving.writer.write(b"".join(encode_command(*enqueue_words(f"m{n}", "unsafe")) for n in range(40)))
+    await leaving.writer.drain()
+    leaving.writer.close()
+    await leaving.writer.wait_closed()
+    world.process.send_signal(signal.SIGCONT)
+    assert await first.submit("last", "unsafe") == b"+OK"
+    assert (await host.wait_request(0)).refs == ["last"]
+    assert await first.submit("m0", "unsafe") == b"+OK"
+    assert (await host.wait_request(1)).refs == ["m0"]
+
+
+async def test_a_client_that_ends_its_side_and_still_reads_is_refused(world: World) -> None:
+    """It is told that nothing was taken on, so it may hand the message in again."""
+    host = await world.add_host("h1")
+    client = await world.start_relay()
+    assert world.process is not None
+    world.process.send_signal(signal.SIGSTOP)
+    client.writer.write(encode_command(*enqueue_words("m1", "unsafe")))
+    client.writer.write_eof()
+    world.process.send_signal(signal.SIGCONT)
+    assert (await with_timeout(client.reader.readline())).startswith(b"-BUSY ")
+    assert await (await world.connect_client()).submit("m1", "unsafe") == b"+OK"
+    assert (await host.wait_request(0)).refs == ["m1"]
+
+
 @pytest.mark.parametrize("status", [503, 504])
 async def test_an_unsafe_message_that_never_ran_is_sent_again(world: World, status: int) -> None:
     host = await world.add_host("h1")
