Know the ids of messages that have run behind a restart, and in a flood of refusals

Cause: the ids of messages that are over lived in the process, and only a handover passed them on. By reading: the 4,096 of them were pushed out within a second by one client's refused messages.

In memory those that were sent are kept apart from those that never were.

--- a/relay/driver.py
+++ b/relay/driver.py
@@ -14,7 +14,7 @@
 import sys
 import time
 import zlib
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Iterator, Set
 from dataclasses import dataclass
 from itertools import islice
@@ -30,6 +30,7 @@
 from relay.discovery import ENDPOINTS_PER_PIECE, Notice, NoticeSender, Watch, line_limit_for_memory
 from relay.endpoint_calls import CallsHandover, EndpointCalls
 from relay.endpoint_list import DirectoryUpdate, format_list, ordered_changes, parse_list, split_changes
+from relay.finished_ids import FinishedIds
 from relay.http import Address
 from relay.journal import Attempt, Journal, JournalFullError, RecoveredMessage
 from relay.reasons import RefusalReason
@@ -42,8 +43,6 @@
 # us: the deadline counts from when the client sent the message, so by the client's count it passes up to this
 # much before the relay's.
 DELIVERY_TRANSIT_MARGIN_US = 50_000
-# Ids of finished messages that are remembered, so that a request that a client repeats is not taken as new.
-MAX_FINISHED_IDS = 4096
 
 
 class Clock:
@@ -106,7 +105,7 @@
 class AnyVersionState:
     """State that a process of any version can take over, as JSON; the field names are its keys."""
 
-    over: list[str]  # ids of finished messages, oldest first
+    over: list[str]  # ids of finished messages, by ``FinishedIds.export``
     waits: dict[str, float]  # by route: monotonic time in s until which an endpoint wants no calls
     ever: list[str]  # hosts that endpoint lists have named, latest last
 
@@ -216,7 +215,7 @@
         self._held: dict[str, HeldMessage] = {}  # by id: messages without a final result
         self._held_body_bytes = 0
         self._max_held_body_bytes = int(config.memory_bytes * HELD_BODIES_MEMORY_SHARE)
-        self._finished_ids: OrderedDict[str, None] = OrderedDict()
+        self._finished_ids = FinishedIds()
         self._result_counts: Counter[tuple[str, str]] = Counter()  # finished messages by class, result
         self.refusal_counts: Counter[RefusalReason] = Counter()  # messages that were never accepted
         self._pending_events: list[api.Event] = []
@@ -254,6 +253,7 @@
         """
         for host in self._journal.banned_hosts:
             self._apply_ban(host, True)
+        self._finished_ids.restore(self._journal.finished_ids)
         now_us = self.clock()
         for message in self._journal.recovered.values():
             self._resume_message(message, now_us, message.id in known)
@@ -275,7 +275,7 @@
         )
         return (
             AnyVersionState(
-                list(self._finished_ids),
+                self._finished_ids.export(),
                 self._endpoint_calls.active_waits,
                 list(self._endpoint_calls.remembered_hosts),
             ),
@@ -292,7 +292,7 @@
 
     def import_any_version_state(self, imported: AnyVersionState) -> None:
         """Take over the state of a process of any version; called before the start."""
-        self._finished_ids.update(dict.fromkeys(imported.over))
+        self._finished_ids.restore(imported.over)
         self._endpoint_calls.restore_waits(imported.waits)
         self._endpoint_calls.remembered_hosts.update(dict.fromkeys(imported.ever))
 
@@ -453,6 +453,7 @@
         ``known``: the module has the message already.
         """
         if recovered.notice is not None:
+            self._finished_ids.add(recovered.id, was_sent=bool(recovered.attempts))
             self._notices.send(Notice(recovered.id, *recovered.notice))
             return
         try:
@@ -558,12 +559,7 @@
         self._release(ref)
         self._result_counts[held.message.cls, SERVED] += delivered
         self._journal.record_over(ref)
-        self._remember_finished(ref)
-
-    def _remember_finished(self, ref: str) -> None:
-        self._finished_ids[ref] = None
-        while len(self._finished_ids) > MAX_FINISHED_IDS:
-            self._finished_ids.popitem(last=False)
+        self._finished_ids.add(ref, was_sent=True)
 
     def _post_event(self, event: api.Event) -> None:
         """Queue an event for the next step, which runs one round after the last step at the earliest."""
@@ -638,7 +634,7 @@
         )  # fmt: skip
         self._result_counts[message.cls, REFUSED if notice.result == "bounced" else FAILED] += 1
         self._journal.record_end(notice.ref, notice.result, notice.wait_ms)
-        self._remember_finished(notice.ref)
+        self._finished_ids.add(notice.ref, was_sent=held.attempts > 0)
         self._notices.send(notice)
 
     def _send_batch(self, host: str, batch: list[api.Send]) -> None:
--- a/relay/journal.py
+++ b/relay/journal.py
@@ -11,6 +11,7 @@
 import os
 import struct
 import zlib
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -28,6 +29,10 @@
 # Kinds of records that are about endpoints, not messages.
 BAN = "ban"
 UNBAN = "unban"
+# Kind of the record in which a compaction keeps the ids of messages that were sent and are over.
+FINISHED = "finished"
+MAX_FINISHED_BYTES = 16 * 1024  # of that record
+FINISHED_BUDGET_SHARE = 1 / 64  # of the disk budget that the record may take at most
 MIN_COMPACTION_GARBAGE_BYTES = 256 * 1024  # garbage in the log that is worth a compaction
 # One encoder for all records: ``json.dumps`` with separators creates a new one for each call.
 encode_json = json.JSONEncoder(separators=(",", ":")).encode
@@ -143,6 +148,10 @@
         self._compacted_bytes = 0  # size of the log if it were compacted now
         self._reserved_bytes = 0  # for later records of the unfinished messages, in a compacted log
         self._bans: dict[str, bytes] = {}  # by host: the raw record of its ban
+        # Ids of messages that were sent and are over, oldest first, as far as they fit a compaction's record.
+        self._finished_ids: OrderedDict[str, None] = OrderedDict()
+        self._finished_bytes = 0  # of them in the record, with a blank behind each
+        self._max_finished_bytes = min(MAX_FINISHED_BYTES, int(self._budget_bytes * FINISHED_BUDGET_SHARE))
         self.recovered: dict[str, RecoveredMessage] = {}
         self.write_count = 0  # writes of this process, as ``written_bytes``
         self.written_bytes = 0
@@ -202,6 +211,10 @@
                 self._bans[ref] = raw
                 self._compacted_bytes += len(raw)
             return
+        if kind == FINISHED:
+            for finished_ref in ref.split():
+                self._remember_finished(finished_ref)
+            return
         if (records := self._unfinished.get(ref)) is not None:
             self._compacted_bytes -= len(records.data)
         if kind == "in":
@@ -212,6 +225,8 @@
         elif kind == "over":
             del self._unfinished[ref]
             self._reserved_bytes -= later_records_bytes(ref)
+            if records.latest_attempt:
+                self._remember_finished(ref)
             return
         elif kind == "try":
             records.add_attempt(raw, int(head[2]))
@@ -221,6 +236,21 @@
             records.end = raw
         self._compacted_bytes += len(records.data)
 
+    def _remember_finished(self, ref: str) -> None:
+        """Keep an id for the next compaction, and drop the oldest ones that do not fit beside it."""
+        if ref in self._finished_ids:
+            return
+        self._finished_ids[ref] = None
+        self._finished_bytes += len(ref) + 1
+        while self._finished_bytes > self._max_finished_bytes:
+            dropped, _ = self._finished_ids.popitem(last=False)
+            self._finished_bytes -= len(dropped) + 1
+
+    @property
+    def finished_ids(self) -> list[str]:
+        """The latest messages that were sent and are over, oldest first."""
+        return list(self._finished_ids)
+
     @property
     def banned_hosts(self) -> list[str]:
         """The endpoints that operators have banned."""
@@ -238,7 +268,7 @@
         raw = frame_record(head, body)
         compacted_bytes = self._compacted_bytes + len(raw) + self._reserved_bytes + later_records_bytes(ref)
         # During a compaction the old and the new log exist side by side.
-        if 2 * round_up_to_blocks(compacted_bytes) > self._budget_bytes:
+        if 2 * round_up_to_blocks(compacted_bytes + self._finished_bytes) > self._budget_bytes:
             raise JournalFullError("unfinished messages take up the journal's disk budget")
         self._append([(head, raw)])
 
@@ -275,9 +305,10 @@
         Raises ``JournalFullError`` where they do not fit the budget or the disk did not take them whole.
         """
         data = b"".join(raw for _, raw in records)
-        if self._size_bytes + len(data) + self._compacted_bytes > min(
+        compacted_bytes = self._compacted_bytes + self._finished_bytes
+        if self._size_bytes + len(data) + compacted_bytes > min(
             self._budget_bytes - round_up_to_blocks(len(data)),
-            2 * self._compacted_bytes + MIN_COMPACTION_GARBAGE_BYTES,
+            2 * compacted_bytes + MIN_COMPACTION_GARBAGE_BYTES,
         ):
             self._compact()
         if round_up_to_blocks(self._size_bytes + len(data)) > self._budget_bytes:
@@ -295,11 +326,18 @@
             self._track_record(head, raw)
 
     def _compact(self) -> None:
-        """Write bans and unfinished messages to a new log and replace the old one with it.
+        """Write bans, finished ids and unfinished messages to a new log and replace the old one with it.
 
         Does nothing where that frees no space or both logs exceed the budget; a failure keeps the old log.
         """
-        data = b"".join((*self._bans.values(), *(records.data for records in self._unfinished.values())))
+        finished = [FINISHED, " ".join(self._finished_ids)]
+        data = b"".join(
+            (
+                *self._bans.values(),
+                frame_record(finished) if self._finished_ids else b"",
+                *(records.data for records in self._unfinished.values()),
+            )
+        )
         if (
             len(data) >= self._size_bytes
             or round_up_to_blocks(self._size_bytes) + round_up_to_blocks(len(data)) > self._budget_bytes
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -141,6 +141,27 @@
     assert (await replaceable.read_figures(old_port))["requests.safe.served"] == 2
 
 
+@pytest.mark.parametrize("same_layout", [True, False])
+async def test_an_id_that_comes_again_at_the_next_process_does_not_run_twice(
+    replaceable: World, same_layout: bool
+) -> None:
+    """Its first client has left, or its request is read by the next process only when it has left."""
+    host = await replaceable.add_host("h1")
+    client = await replaceable.start_relay()
+    assert await client.submit("m1", "unsafe") == b"+OK"
+    await host.wait_request(0)
+    await replaceable.wait_journaled(b'"over"')
+    client.writer.close()
+    if not same_layout:
+        replaceable.settings["over_share_worth"] = 0.2
+    await upgraded(replaceable)
+    client = await replaceable.connect_client()
+    for ref in ("m1", "m2"):
+        assert await client.submit(ref, "unsafe") == b"+OK"
+    await host.wait_until(lambda: host.requests[-1].refs == ["m2"])
+    assert [request.refs for request in host.requests] == [["m1"], ["m2"]]
+
+
 async def test_upgrades_follow_one_another(replaceable: World) -> None:
     host = await replaceable.add_host("h1")
     client = await replaceable.start_relay()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -14,6 +14,7 @@
 
 from relay.driver import ClientMessage
 from relay.journal import (
+    FINISHED_BUDGET_SHARE,
     MIN_COMPACTION_GARBAGE_BYTES,
     RECORD_MARK,
     Attempt,
@@ -52,6 +53,35 @@
     assert found["c"].notice == ("bounced", 500)
 
 
+def test_sent_messages_that_are_over_are_known_by_the_next_life_behind_compactions(tmp_path: Path) -> None:
+    """Guards against a second run of an id that comes again behind a restart."""
+    journal = Journal(tmp_path, DISK_BYTES)
+    for number in range(3_000):
+        ref = f"m{number}"
+        accept(journal, ref, size=50)
+        if number % 2:
+            journal.record_attempts([(ref, Attempt(0, "h1", "z", 5))])
+        journal.record_over(ref)
+    journal.close()
+    assert (tmp_path / "journal").stat().st_size < 3_000 * 250  # it was compacted
+    for _ in range(2):
+        journal = reopened(tmp_path)
+        assert journal.finished_ids[-1_500:] == [f"m{number}" for number in range(3_000) if number % 2]
+        journal._compact()
+        journal.close()
+
+
+def test_the_ids_of_messages_that_are_over_take_a_bounded_share_of_the_disk(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, 64_000)
+    for number in range(2_000):
+        accept(journal, ref := f"m{number}")
+        journal.record_attempts([(ref, Attempt(0, "h1", "z", 5))])
+        journal.record_over(ref)
+    assert len(" ".join(journal.finished_ids)) <= 64_000 * FINISHED_BUDGET_SHARE
+    assert journal.finished_ids[-1] == "m1999"
+    assert (tmp_path / "journal").stat().st_size <= 64_000
+
+
 def test_a_tail_torn_anywhere_is_cut_off_before_appending(tmp_path: Path) -> None:
     """SIGKILL may interrupt a write; a record appended behind half a record would be lost."""
     journal = Journal(tmp_path, DISK_BYTES)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -14,7 +14,14 @@
 from relay.__main__ import serve
 from relay.discovery_address import DiscoveryAddressFile
 from relay.journal import Journal
-from standins.scripted import ROOT, World, deliver_all, no_answer, with_timeout
+from standins.scripted import (
+    ROOT,
+    Request,
+    World,
+    deliver_all,
+    no_answer,
+    with_timeout,
+)
 
 
 async def test_a_held_message_is_delivered_by_the_next_life(world: World) -> None:
@@ -176,6 +183,26 @@
     assert (await world.discovery.wait_notice("m3"))["result"] == "bounced"
 
 
+@pytest.mark.parametrize("how", ["delivered", "failed", "failed, its notice unconfirmed"])
+async def test_an_id_that_comes_again_behind_a_restart_does_not_run_twice(world: World, how: str) -> None:
+    """Guards against a second run: a killed relay's client may not have read the reply."""
+    host = await world.add_host("h1")
+    client = await world.start_relay()
+    if how != "delivered":
+        host.script.append(Request.reset)
+    if how == "failed, its notice unconfirmed":
+        world.discovery.default_reply = lambda request: (
+            request.answer(500) if request.method == "POST" else world.discovery._reply(request)
+        )
+    assert await client.submit("m1", "unsafe") == b"+OK"
+    await world.wait_journaled(b'"end"' if "unconfirmed" in how else b'"over"')
+    client = await world.kill_and_restart()
+    assert await client.submit("m1", "unsafe") == b"+OK"
+    assert await client.submit("m2", "unsafe") == b"+OK"
+    await host.wait_until(lambda: host.requests[-1].refs == ["m2"])
+    assert [request.refs for request in host.requests] == [["m1"], ["m2"]]
+
+
 async def test_sighup_never_ends_a_relay_that_shuts_down(world: World) -> None:
     """Guards against a crash: the event loop gives up its handlers before the process has exited."""
     await world.start_relay()
