Take a refusal with more bytes behind its end for an attempt that may have run

No answer of the protocol has anything behind its end.

The test of answers beside others expected the refusal; it expects the error now, which allows less, and has a form for 410 as well. Both forms failed on the code before.

--- a/relay/endpoint_calls.py
+++ b/relay/endpoint_calls.py
@@ -481,10 +481,10 @@
     ) -> bool:
         """Settle messages once the call is over: by a whole answer, or by closing the connection.
 
-        Status and headers prove nothing where the rest of the answer cannot be read: the messages may have
-        run. A wait and a report in them are heeded all the same.
+        Status and headers prove nothing where the rest of the answer cannot be read, or where more follows
+        it: the messages may have run. A wait and a report in them are heeded all the same.
         """
-        is_whole = await self._read_rest(connection)
+        is_whole = await self._read_rest(connection) and not connection.has_excess_bytes
         keep = is_whole and self._keep_connection(call.host, connection)
         if not keep:
             connection.close()
--- a/relay/http.py
+++ b/relay/http.py
@@ -314,6 +314,11 @@
                 return isinstance(event, h11.EndOfMessage)
         raise h11.RemoteProtocolError("the body of the answer comes in too many pieces")
 
+    @property
+    def has_excess_bytes(self) -> bool:
+        """Whether bytes have arrived behind the end of the answer."""
+        return bool(self._http.trailing_data[0])
+
     def prepare_reuse(self) -> bool:
         """Make ready for the next request; return whether both sides are done and keep the connection.
 
@@ -324,11 +329,11 @@
             self._http.start_next_cycle()
             self.request_begun = False
         idle = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
-        return idle and not self._http.trailing_data[0]
+        return idle and not self.has_excess_bytes
 
     def is_quiet(self) -> bool:
         """Return whether nothing has arrived unasked: neither bytes nor the peer's end."""
-        if self._http.trailing_data[0]:
+        if self.has_excess_bytes:
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
--- a/tests/test_endpoint_calls.py
+++ b/tests/test_endpoint_calls.py
@@ -269,7 +269,8 @@
         (b"HTTP/1.1 200 X\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.OK, 0),
         (b"HTTP/1.1 500 X\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.ERROR, 0),
         (b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nand more", Verdict.OK, 0),
-        (b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.FULL, 0),
+        (b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 X\r\n\r\n", Verdict.ERROR, 0),
+        (b"HTTP/1.1 410 X\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 500 X\r\n\r\n", Verdict.ERROR, 0),
     ],
 )
 async def test_of_an_answer_beside_others_the_final_one_counts(
