--- a/relay/__main__.py
+++ b/relay/__main__.py
@@ -27,7 +27,7 @@
 from relay.admin import PREDECESSOR_ADDRESS_S, AdminServer, RequestHandler
 from relay.clients import Server
 from relay.discovery_address import DiscoveryAddressFile
-from relay.driver import AnyVersionState, Driver, MessageCounts, PortableState, layout
+from relay.driver import Driver, MessageCounts
 from relay.fair_queue import FairQueue
 from relay.handover import (
     HandoverPayload,
@@ -37,6 +37,7 @@
     RelayLock,
     become_relay,
 )
+from relay.handover_state import AnyVersionState, PortableState, layout
 from relay.http import Address
 from relay.journal import Journal
 from relay.listeners import Listener, duplicate_socket, listen_at, listen_when_free
--- a/relay/clients.py
+++ b/relay/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import re
 import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
@@ -13,18 +12,16 @@
 from typing import Any
 
 from relay import resp
-from relay.driver import ClientMessage, Driver
+from relay.driver import Driver
+from relay.enqueue import MAX_BODY_BYTES, BadRequestError, parse_enqueue
 from relay.fair_queue import FairQueue
 from relay.listeners import Listener
 from relay.reasons import EndReason, RefusalReason
 from relay.tcp_state import peer_has_closed
 
 LOG = logging.getLogger(__name__)
-MAX_BODY_BYTES = 64 * 1024
 # Of one request, with 4096 for all but the body. An unfinished request that is longer is a protocol error.
 MAX_REQUEST_BYTES = MAX_BODY_BYTES + 4096
-TOKEN_PATTERN = re.compile(rb"[!-~]{1,128}")  # valid in an HTTP header and in a line of a batch
-NUMBER_PATTERN = re.compile(rb"[0-9]{1,12}")
 # Shares of the memory limit: all that has been read of clients and not been answered, beyond which only
 # ``MIN_READ_BYTES`` are read at once, and of it unfinished requests, beyond which one is refused.
 BUFFERED_MEMORY_SHARE = 0.09375
@@ -40,68 +37,11 @@
 # Connections accepted in one event loop iteration, as a share of the limit on clients. Older connections can
 # make room for new ones only between iterations.
 ACCEPT_BATCH_SHARE = 0.125
-# No endpoint list names a higher destination: a message for one would be accepted and never find an endpoint.
-MAX_DEST = 65535
-MAX_PARAMETER_BYTES = 4096  # of the list of names and values in a request
 READ_BUFFER_BYTES = 16 * 1024  # read from one connection in one event loop iteration
 MIN_READ_BYTES = 256  # the same, where the buffers of all clients have reached their share of the memory
 MAX_UNREAD_REPLY_BYTES = 4096  # replies that a client has not read, beyond which it is not read either
 UNREAD_REPLY_TIMEOUT_S = 2.5  # a client that goes on for so long without reading its replies is closed
 MAX_OTHER_VALUES = 32  # RESP values in a row that are not requests, after which a connection is closed
-MAX_TIME_LEFT_MS = 24 * 3600 * 1000  # a message with more time left gets this much
-
-
-class BadRequestError(ValueError):
-    """A complete request whose arguments are invalid. The text is sent to the client."""
-
-
-def parse_token(raw: bytes, name: str) -> str:
-    """Return a word of 1 to 128 printable ASCII characters; raise ``BadRequestError`` for anything else."""
-    if not TOKEN_PATTERN.fullmatch(raw):
-        raise BadRequestError(f"{name} is unreadable")
-    return raw.decode("ascii")
-
-
-def parse_number(parameters: dict[bytes, bytes], name: bytes) -> int:
-    """Return a mandatory whole number of 1 to 12 digits; raise ``BadRequestError`` for anything else."""
-    text = parameters.get(name, b"")
-    if not NUMBER_PATTERN.fullmatch(text):
-        raise BadRequestError(f"{name.decode()} is no whole number")
-    return int(text)
-
-
-def parse_enqueue(args: list[bytes], now_us: int) -> tuple[ClientMessage, bytes]:
-    """Return the message and the body of an ENQUEUE request; raise ``BadRequestError`` if it is invalid.
-
-    The request holds the time left in milliseconds; the message's deadline is that long after ``now_us``.
-    An ordering key that is empty or consists of zeros means that the message has none.
-    """
-    if len(args) != 5:
-        raise BadRequestError("ENQUEUE takes a key, an id, a list and a body")
-    _, order_key, message_id, parameter_list, body = args
-    if len(body) > MAX_BODY_BYTES:
-        raise BadRequestError("the body is too long")
-    if len(parameter_list) > MAX_PARAMETER_BYTES:
-        raise BadRequestError("the list is too long")
-    parameters: dict[bytes, bytes] = {}
-    for pair in parameter_list.split(b","):
-        name, separator, value = pair.partition(b"=")
-        if not separator:
-            raise BadRequestError("the list holds no name=value pair")
-        parameters[name.strip()] = value
-    if (dest := parse_number(parameters, b"dest")) > MAX_DEST:
-        raise BadRequestError("dest is out of range")
-    left_ms = min(parse_number(parameters, b"d"), MAX_TIME_LEFT_MS)
-    message = ClientMessage(
-        id=parse_token(message_id, "the id"),
-        dest=dest,
-        cls=parse_token(parameters.get(b"c", b""), "c"),
-        deadline_us=now_us + left_ms * 1000,
-        tenant=parse_token(parameters[b"t"], "t") if parameters.get(b"t") else "",
-        order="" if not order_key.strip(b"0") else parse_token(order_key, "the key"),
-        key=parse_token(parameters[b"k"], "k") if parameters.get(b"k") else "",
-    )
-    return message, body
 
 
 class ClientConnection(asyncio.BufferedProtocol):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,8 +14,8 @@
 
 from decisions.interface import Entry, Listing
 from relay import handover
-from relay.driver import PortableState
 from relay.endpoint_list import DirectoryUpdate, ListedEndpoint
+from relay.handover_state import PortableState
 from standins.scripted import (
     Client,
     World,
