--- a/relay/handover.py
+++ b/relay/handover.py
@@ -340,17 +340,19 @@
     The lock comes last: once the other process has it, it closes calls, and a copy of their sockets here
     would keep them open. SIGHUP is passed on to the other process.
     """
-    signal.set_wakeup_fd(-1)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: os._exit(0))
-    signal.signal(signal.SIGHUP, lambda *_: pass_reload_on(sock))
-    close_fds_except([sock.fileno(), lock.fd])
-    lock.close()
-    sock.settimeout(EXIT_TIMEOUT_S)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
-    with suppress(OSError):
-        sock.recv(1)
-    os._exit(0)
+    try:
+        signal.set_wakeup_fd(-1)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: os._exit(0))
+        signal.signal(signal.SIGHUP, lambda *_: pass_reload_on(sock))
+        close_fds_except([sock.fileno(), lock.fd])
+        lock.close()
+        sock.settimeout(EXIT_TIMEOUT_S)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        with suppress(OSError):
+            sock.recv(1)
+    finally:
+        os._exit(0)  # whatever failed: this process is not the relay any more
 
 
 def pass_reload_on(sock: socket.socket) -> None:
